--- a/src/bin/slatelock-benchlink/main.rs
+++ b/src/bin/slatelock-benchlink/main.rs
@@ -1,6 +1,5 @@
 //! Hosts gateways on the bench's wire: batches on standard input, replies on standard output.
 
-mod settings;
 mod wire;
 
 use std::collections::BTreeMap;
@@ -9,7 +8,7 @@
 use std::process::ExitCode;
 
 use slatelock::interface::{Action, BackendEntry};
-use slatelock::Gateway;
+use slatelock::{settings, Gateway};
 use wire::{Frame, Malformed, Record, Reply};
 
 const LISTS: usize = 16;
@@ -33,8 +32,8 @@
                 Record::Directory(bank, entries) => self.lists[bank] = entries,
                 Record::Create { seed, settings } => {
                     let gateway = settings::parse(settings)
-                        .and_then(|s| Gateway::new(s, seed, frame.now).map_err(|e| e.to_string()))
-                        .map_err(Malformed::new)?;
+                        .and_then(|s| Gateway::new(s, seed, frame.now))
+                        .map_err(|e| Malformed::new(e.to_string()))?;
                     self.gateways.insert(instance(current)?, gateway);
                 }
                 Record::PowerOff => {
--- /dev/null
+++ b/src/bin/slatelock-gateway/backends.rs
@@ -0,0 +1,297 @@
+//! Pools of connections to backends, and exchanges on them: one request at a time on each.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use redis_protocol::resp2::types::BytesFrame;
+use slatelock::interface::{BackendEntry, Outcome, Readiness};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::{timeout, timeout_at, Instant};
+
+use crate::resp;
+
+/// Part of the idle time that a backend allows after which a connection is not used again: the
+/// backend's clock began earlier than the gateway's.
+const IDLE_PART: f64 = 0.8;
+/// The most connections to one backend. More requests than that would only wait there.
+const CONNECTIONS_MOST: usize = 160;
+
+/// A connection that no request is out on.
+#[derive(Debug)]
+pub struct Connection {
+    stream: TcpStream,
+    buffer: BytesMut,
+    /// What the pool counted when it was opened; another count there makes it stale.
+    generation: u64,
+    idle_since: Instant,
+    _places: [OwnedSemaphorePermit; 2],
+}
+
+/// What a backend tells beside its answer.
+#[derive(Debug, Default)]
+pub struct Facts {
+    pub metered: Option<f64>,
+    pub charged: Option<f64>,
+    pub load: Vec<f32>,
+}
+
+/// How an exchange ended.
+#[derive(Debug)]
+pub enum Reply {
+    Served(Bytes, Facts),
+    /// Never [`Outcome::Ok`].
+    Failed(Outcome, Facts),
+}
+
+impl Reply {
+    pub fn failed(outcome: Outcome) -> Reply {
+        Reply::Failed(outcome, Facts::default())
+    }
+}
+
+/// How a connection for a request can be had.
+#[derive(Debug)]
+pub enum Way {
+    /// One is there.
+    Open(Connection),
+    /// One may be opened.
+    New(Dial),
+    /// There is no room for one.
+    Full,
+    /// The backend is not known, drains or is gone.
+    Closed,
+}
+
+/// A connection to be opened.
+#[derive(Debug)]
+pub struct Dial {
+    address: SocketAddr,
+    generation: u64,
+    places: [OwnedSemaphorePermit; 2],
+}
+
+impl Dial {
+    /// Opens the connection; `None` if it is not up in time.
+    pub async fn open(self, limit: Duration) -> Option<Connection> {
+        let stream = timeout(limit, TcpStream::connect(self.address)).await.ok()?.ok()?;
+        stream.set_nodelay(true).ok()?;
+        let (generation, idle_since) = (self.generation, Instant::now());
+        Some(Connection { stream, buffer: BytesMut::new(), generation, idle_since, _places: self.places })
+    }
+}
+
+#[derive(Debug)]
+struct Pool {
+    /// It takes work, and does not drain.
+    ready: bool,
+    started: f64,
+    address: SocketAddr,
+    generation: u64,
+    idle: Vec<Connection>,
+    places: Arc<Semaphore>,
+}
+
+/// All backends, by the number that the decisions know them by.
+#[derive(Debug)]
+pub struct Backends {
+    pools: HashMap<u32, Pool>,
+    /// Counts what makes connections stale.
+    generations: u64,
+    places: Arc<Semaphore>,
+    idle_most: Duration,
+}
+
+impl Backends {
+    /// Keeps at most so many connections in all.
+    pub fn new(connections: usize, idle_close_ms: f64) -> Self {
+        let idle_most = Duration::from_secs_f64((idle_close_ms * IDLE_PART / 1000.0).clamp(0.0, 3600.0));
+        Backends {
+            pools: HashMap::new(),
+            generations: 0,
+            places: Arc::new(Semaphore::new(connections)),
+            idle_most,
+        }
+    }
+
+    /// Takes in a line of the list.
+    pub fn update(&mut self, entry: &BackendEntry, address: SocketAddr) {
+        if entry.state == Readiness::Gone {
+            self.pools.remove(&entry.id);
+            return;
+        }
+        let (started, ready) = (entry.started_ms, entry.state == Readiness::Ready);
+        let old = self.pools.get(&entry.id);
+        // Danger: connections to a process that is no more, and requests reset on them.
+        if old.is_some_and(|p| p.address == address && p.started == started && p.ready == ready) {
+            return;
+        }
+        self.generations += 1;
+        let places =
+            old.map_or_else(|| Arc::new(Semaphore::new(CONNECTIONS_MOST)), |p| Arc::clone(&p.places));
+        let (generation, idle) = (self.generations, Vec::new());
+        self.pools.insert(entry.id, Pool { ready, started, address, generation, idle, places });
+    }
+
+    /// Takes in a whole list: backends that it does not name are gone.
+    pub fn keep_only(&mut self, named: impl Fn(u32) -> bool) {
+        self.pools.retain(|id, _| named(*id));
+    }
+
+    /// A way to send a request to a backend now.
+    pub fn way(&mut self, backend: u32, now: Instant) -> Way {
+        let Some(pool) = self.pools.get_mut(&backend).filter(|p| p.ready) else {
+            return Way::Closed;
+        };
+        while let Some(connection) = pool.idle.pop() {
+            if connection.usable(now, self.idle_most) {
+                return Way::Open(connection);
+            }
+        }
+        // Danger: idle connections elsewhere that hold all the places.
+        if self.places.available_permits() == 0 {
+            self.pools.values_mut().for_each(|p| p.idle.clear());
+        }
+        let pool = &self.pools[&backend];
+        let place = |of: &Arc<Semaphore>| Arc::clone(of).try_acquire_owned().ok();
+        match (place(&self.places), place(&pool.places)) {
+            (Some(of_all), Some(of_pool)) => {
+                let (address, generation) = (pool.address, pool.generation);
+                Way::New(Dial { address, generation, places: [of_all, of_pool] })
+            }
+            _ => Way::Full,
+        }
+    }
+
+    /// The pool of a connection to which a request may still be written.
+    fn pool_of(&mut self, backend: u32, connection: &Connection) -> Option<&mut Pool> {
+        let pool = self.pools.get_mut(&backend);
+        pool.filter(|p| p.ready && p.generation == connection.generation)
+    }
+
+    /// Whether a request may still be written to this connection of the backend.
+    pub fn current(&mut self, backend: u32, connection: &Connection) -> bool {
+        self.pool_of(backend, connection).is_some()
+    }
+
+    /// Takes back a connection for further requests, or closes it.
+    pub fn put_back(&mut self, backend: u32, connection: Connection) {
+        if let Some(pool) = self.pool_of(backend, &connection) {
+            pool.idle.push(connection);
+        }
+    }
+
+    /// Closes what has stood idle for too long or was closed by the backend.
+    pub fn close_idle(&mut self, now: Instant) {
+        let most = self.idle_most;
+        self.pools.values_mut().for_each(|p| p.idle.retain(|c| c.usable(now, most)));
+    }
+}
+
+impl Connection {
+    /// Danger: a request written to a connection that its backend has closed is a reset, which may have
+    /// run. So it must be young, and show neither an end nor bytes that nobody asked for.
+    fn usable(&self, now: Instant, idle_most: Duration) -> bool {
+        let silent = self.stream.try_read(&mut [0; 1]);
+        let open = matches!(silent, Err(e) if e.kind() == std::io::ErrorKind::WouldBlock);
+        open && self.buffer.is_empty() && now.duration_since(self.idle_since) < idle_most
+    }
+
+    /// Writes a request and reads its answer. The connection comes back if it can be used again.
+    pub async fn exchange(
+        mut self,
+        request: Bytes,
+        until: Instant,
+        fields: Arc<[String]>,
+    ) -> (Reply, Option<Connection>) {
+        match timeout_at(until, self.stream.write_all(&request)).await {
+            Ok(Ok(())) => {}
+            Ok(Err(_)) | Err(_) => return (Reply::failed(Outcome::ConnectFailed), None),
+        }
+        drop(request);
+        let frame = match timeout_at(until, self.answer()).await {
+            Ok(Ok(frame)) => frame,
+            Ok(Err(outcome)) => return (Reply::failed(outcome), None),
+            Err(_) => return (Reply::failed(Outcome::Timeout), None),
+        };
+        self.idle_since = Instant::now();
+        match read(frame, &fields) {
+            Some(reply) => (reply, Some(self)),
+            None => (Reply::failed(Outcome::Error), None),
+        }
+    }
+
+    async fn answer(&mut self) -> Result<BytesFrame, Outcome> {
+        loop {
+            match resp::next(&mut self.buffer) {
+                Ok(Some(frame)) => return Ok(frame),
+                Ok(None) if self.buffer.len() < resp::MESSAGE_MOST => {}
+                Ok(None) | Err(_) => return Err(Outcome::Error),
+            }
+            self.buffer.reserve(1024);
+            match self.stream.read_buf(&mut self.buffer).await {
+                Ok(0) | Err(_) => return Err(Outcome::Reset),
+                Ok(_) => {}
+            }
+        }
+    }
+}
+
+/// Reads an answer; `None` if it is none.
+fn read(frame: BytesFrame, fields: &[String]) -> Option<Reply> {
+    match frame {
+        BytesFrame::Array(parts) => {
+            let mut parts = parts.into_iter();
+            let BytesFrame::BulkString(value) = parts.next()? else { return None };
+            let mut facts = Facts::default();
+            for part in parts {
+                match part {
+                    BytesFrame::Null => {}
+                    BytesFrame::BulkString(text) => facts.take(std::str::from_utf8(&text).ok()?, fields),
+                    _ => return None,
+                }
+            }
+            Some(Reply::Served(value, facts))
+        }
+        BytesFrame::Error(line) => {
+            let mut words = line.split(' ');
+            let outcome = if words.next() == Some("BUSY") { Outcome::Full } else { Outcome::Error };
+            let mut facts = Facts::default();
+            words.for_each(|word| facts.take(word, fields));
+            Some(Reply::Failed(outcome, facts))
+        }
+        // What probes get.
+        BytesFrame::SimpleString(_) => Some(Reply::Served(Bytes::new(), Facts::default())),
+        BytesFrame::BulkString(text) => {
+            let mut facts = Facts::default();
+            facts.take(std::str::from_utf8(&text).ok()?, fields);
+            Some(Reply::Served(Bytes::new(), facts))
+        }
+        BytesFrame::Integer(_) | BytesFrame::Null => None,
+    }
+}
+
+impl Facts {
+    /// Takes figures on use or a load report out of a word such as `used=37,cost=4`; passes over others.
+    fn take(&mut self, word: &str, fields: &[String]) {
+        let mut load = vec![f32::NAN; fields.len()];
+        for (name, value) in word.split(',').filter_map(|pair| pair.split_once('=')) {
+            let Some(value) = resp::amount(value) else { continue };
+            match name {
+                "used" if value > 0.0 => self.metered = Some((value - 1.0) / 100.0),
+                "cost" if value > 0.0 => self.charged = Some(value),
+                _ => {
+                    let place = fields.iter().position(|f| f == name);
+                    place.into_iter().for_each(|p| load[p] = value as f32);
+                }
+            }
+        }
+        if load.iter().any(|v| v.is_finite()) {
+            self.load = load;
+        }
+    }
+}
--- /dev/null
+++ b/src/bin/slatelock-gateway/driver.rs
@@ -0,0 +1,424 @@
+//! Owns the decisions: turns what happens on sockets into events, and carries out the actions.
+
+use std::collections::{HashMap, VecDeque};
+use std::future::poll_fn;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use bytes::Bytes;
+use slatelock::interface::{Action, BackendEntry, Event, Limits, ListScope, Outcome, Request};
+use slatelock::settings::Names;
+use slatelock::Gateway;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::AbortHandle;
+use tokio::time::{interval, Instant};
+use tokio_util::time::DelayQueue;
+
+use crate::backends::{Backends, Connection, Facts, Reply, Way};
+use crate::counter::{self, Counter};
+use crate::discovery::Endpoint;
+use crate::resp::{Answer, Call};
+
+/// What a client's waiting time loses on the way here and back, ms.
+const MARGIN_MS: f64 = 5.0;
+/// How often idle connections are looked over.
+const LOOK_OVER: Duration = Duration::from_secs(2);
+/// Inputs taken in at once.
+const BATCH: usize = 64;
+/// What a probe sends: as plain as can be where backends tell nothing of their load.
+const PROBES: (&[u8], &[u8]) = (b"*1\r\n$4\r\nPING\r\n", b"*2\r\n$4\r\nINFO\r\n$4\r\nload\r\n");
+
+/// Unix time in milliseconds that never runs backwards: all gateways name the same windows, and the
+/// starts of backends that discovery tells can be compared with it.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    unix_ms: f64,
+    origin: Instant,
+}
+
+impl Clock {
+    /// Reads the wall clock, this once.
+    pub fn start() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { unix_ms: unix.as_secs_f64() * 1000.0, origin: Instant::now() }
+    }
+
+    pub fn now_ms(self) -> f64 {
+        self.unix_ms + self.origin.elapsed().as_secs_f64() * 1000.0
+    }
+
+    /// The moment of a time, at most a day from the start of a wait for it.
+    fn instant(self, at_ms: f64) -> Instant {
+        let from_origin = (at_ms - self.unix_ms) / 1000.0;
+        let most = self.origin.elapsed().as_secs_f64() + 86_400.0;
+        self.origin + Duration::from_secs_f64(from_origin.clamp(0.0, most))
+    }
+}
+
+/// An attempt: the request's number and the attempt's, from 0.
+type Key = (u64, u32);
+
+/// What happens to a gateway.
+#[derive(Debug)]
+pub enum Input {
+    Request {
+        id: u64,
+        call: Arc<Call>,
+        answer: oneshot::Sender<Answer>,
+    },
+    /// The client of a request is gone.
+    Gone {
+        id: u64,
+    },
+    Connected {
+        key: Key,
+        backend: u32,
+        connection: Option<Connection>,
+    },
+    Ended {
+        key: Key,
+        backend: u32,
+        reply: Reply,
+        connection: Option<Connection>,
+    },
+    Probed {
+        backend: u32,
+        reply: Reply,
+        connection: Option<Connection>,
+    },
+    Counted {
+        name: u64,
+        outcome: Outcome,
+        total: f64,
+    },
+    List(ListScope, Vec<Endpoint>),
+    /// A timer of the decisions is due.
+    Timer(u64),
+    /// The gateway is about to end: what is still open fails now.
+    FailAll,
+}
+
+/// A request that has no final answer yet. Giving the answer takes it, so there is exactly one.
+struct Open {
+    call: Arc<Call>,
+    expires_ms: f64,
+    attempts: u32,
+    answer: oneshot::Sender<Answer>,
+}
+
+/// An attempt whose outcome the decisions don't have yet.
+struct Attempt {
+    call: Arc<Call>,
+    backend: u32,
+    sent_ms: f64,
+    expires_ms: f64,
+    phase: Phase,
+}
+
+/// How far an attempt has come.
+enum Phase {
+    /// Nothing is written; it never ran.
+    Connecting,
+    /// Writing has begun. Ending the task closes the connection.
+    Writing(AbortHandle),
+}
+
+/// The driver and all it owns.
+pub struct Driver {
+    gateway: Gateway,
+    clock: Clock,
+    names: Names,
+    connect_limit: Duration,
+    backends: Backends,
+    numbers: HashMap<String, u32>,
+    counter: Option<Counter>,
+    open: HashMap<u64, Open>,
+    attempts: HashMap<Key, Attempt>,
+    timers: DelayQueue<u64>,
+    load_fields: Arc<[String]>,
+    inbox: mpsc::Sender<Input>,
+    /// What follows from actions at once.
+    next: VecDeque<Input>,
+    actions: Vec<Action>,
+}
+
+impl Driver {
+    pub fn new(
+        gateway: Gateway,
+        clock: Clock,
+        limits: &Limits,
+        names: Names,
+        backends: Backends,
+        counter: Option<Counter>,
+        inbox: mpsc::Sender<Input>,
+    ) -> Self {
+        Driver {
+            gateway,
+            clock,
+            connect_limit: Duration::from_secs_f64(limits.connect_timeout_ms / 1000.0),
+            load_fields: names.load_fields.clone().into(),
+            names,
+            backends,
+            numbers: HashMap::new(),
+            counter,
+            open: HashMap::new(),
+            attempts: HashMap::new(),
+            timers: DelayQueue::new(),
+            inbox,
+            next: VecDeque::new(),
+            actions: Vec::new(),
+        }
+    }
+
+    /// Runs until the process ends.
+    pub async fn run(mut self, mut queue: mpsc::Receiver<Input>) {
+        let mut look_over = interval(LOOK_OVER);
+        let mut batch = Vec::with_capacity(BATCH);
+        loop {
+            tokio::select! {
+                biased;
+                n = queue.recv_many(&mut batch, BATCH) => {
+                    if n == 0 {
+                        return;
+                    }
+                    batch.drain(..).for_each(|input| self.take(input));
+                }
+                Some(timer) = poll_fn(|cx| self.timers.poll_expired(cx)) => {
+                    self.take(Input::Timer(timer.into_inner()));
+                }
+                now = look_over.tick() => self.backends.close_idle(now),
+            }
+        }
+    }
+
+    /// Takes in what happened, and all that follows from it at once.
+    pub fn take(&mut self, input: Input) {
+        self.event(input);
+        while let Some(input) = self.next.pop_front() {
+            self.event(input);
+        }
+    }
+
+    fn event(&mut self, input: Input) {
+        match input {
+            Input::Request { id, call, answer } => self.request(id, call, answer),
+            Input::Gone { id } => {
+                if self.open.remove(&id).is_some() {
+                    self.handle(Event::ClientGone { id });
+                }
+            }
+            Input::Connected { key, backend, connection } => self.connected(key, backend, connection),
+            Input::Ended { key, backend, reply, connection } => {
+                connection.into_iter().for_each(|c| self.backends.put_back(backend, c));
+                self.ended(key, reply);
+            }
+            Input::Probed { backend, reply, connection } => {
+                connection.into_iter().for_each(|c| self.backends.put_back(backend, c));
+                let (outcome, facts) = match reply {
+                    Reply::Served(_, facts) => (Outcome::Ok, facts),
+                    Reply::Failed(outcome, facts) => (outcome, facts),
+                };
+                self.handle(Event::Probed { backend, outcome, load: &facts.load });
+            }
+            Input::Counted { name, outcome, total } => self.handle(Event::Counted { name, outcome, total }),
+            Input::List(scope, endpoints) => self.list(scope, endpoints),
+            Input::Timer(token) => self.handle(Event::Timer { token }),
+            Input::FailAll => {
+                for (id, open) in std::mem::take(&mut self.open) {
+                    let _ = open.answer.send(Answer::Failed);
+                    self.handle(Event::ClientGone { id });
+                }
+            }
+        }
+    }
+
+    /// Hands an event to the decisions and carries out what they want.
+    fn handle(&mut self, event: Event<'_>) {
+        let mut actions = std::mem::take(&mut self.actions);
+        self.gateway.handle(self.clock.now_ms(), event, &mut actions);
+        actions.drain(..).for_each(|action| self.carry_out(action));
+        self.actions = actions;
+    }
+
+    fn request(&mut self, id: u64, call: Arc<Call>, answer: oneshot::Sender<Answer>) {
+        let now = self.clock.now_ms();
+        let expires_ms = now + (call.wait_ms - MARGIN_MS).max(0.0);
+        let request = Request {
+            id,
+            customer: call.customer,
+            plan: call.plan,
+            class: call.class,
+            units: call.units,
+            width: call.width,
+            expires_ms,
+            retry: call.retry,
+        };
+        self.open.insert(id, Open { call, expires_ms, attempts: 0, answer });
+        self.handle(Event::Request(request));
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Send { id, backend, timeout_ms } => self.send(id, backend, timeout_ms),
+            Action::Cancel { id, attempt } => self.cancel((id, attempt)),
+            Action::Refuse { id, retry_after_ms } => {
+                // Danger: a time rounded down is a time too early.
+                let after = retry_after_ms.map(|ms| ms.ceil().max(1.0) as u64);
+                self.answer(id, Answer::Refused(after));
+            }
+            Action::Surrender { id } => self.answer(id, Answer::Failed),
+            Action::Probe { backend } => self.probe(backend),
+            Action::Count { name, amount, forget_after_ms } => {
+                let call = counter::Call { name, amount, life_ms: forget_after_ms, at: Instant::now() };
+                if !self.counter.as_ref().is_some_and(|c| c.call(call)) {
+                    self.next.push_back(Input::Counted { name, outcome: Outcome::Full, total: 0.0 });
+                }
+            }
+            Action::Timer { token, at_ms } => {
+                self.timers.insert_at(token, self.clock.instant(at_ms));
+            }
+            // Gateways have no way to talk to each other here, and discovery is always watched.
+            Action::Tell { .. } | Action::Watch => {}
+        }
+    }
+
+    fn answer(&mut self, id: u64, answer: Answer) {
+        if let Some(open) = self.open.remove(&id) {
+            // Fails only if the client has gone, which is told by itself.
+            let _ = open.answer.send(answer);
+        }
+    }
+
+    fn send(&mut self, id: u64, backend: u32, timeout_ms: Option<f64>) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let key = (id, open.attempts);
+        open.attempts += 1;
+        let sent_ms = self.clock.now_ms();
+        let expires_ms = timeout_ms.map_or(open.expires_ms, |ms| open.expires_ms.min(sent_ms + ms));
+        let (call, phase) = (Arc::clone(&open.call), Phase::Connecting);
+        self.attempts.insert(key, Attempt { call, backend, sent_ms, expires_ms, phase });
+        match self.backends.way(backend, Instant::now()) {
+            Way::Open(connection) => self.write(key, connection),
+            Way::New(dial) => {
+                let (inbox, limit) = (self.inbox.clone(), self.connect_limit);
+                tokio::spawn(async move {
+                    let connection = dial.open(limit).await;
+                    let _ = inbox.send(Input::Connected { key, backend, connection }).await;
+                });
+            }
+            Way::Full => self.over(key, backend, Outcome::Full),
+            Way::Closed => self.over(key, backend, Outcome::ConnectFailed),
+        }
+    }
+
+    /// Ends an attempt by something the gateway knows itself.
+    fn over(&mut self, key: Key, backend: u32, outcome: Outcome) {
+        let reply = Reply::failed(outcome);
+        self.next.push_back(Input::Ended { key, backend, reply, connection: None });
+    }
+
+    /// Goes on with an attempt when its connection is up, or not in time.
+    fn connected(&mut self, key: Key, backend: u32, connection: Option<Connection>) {
+        let wanted = self.attempts.contains_key(&key);
+        match connection {
+            // Danger: a request written after it was cancelled, or to a backend that drains by now. The
+            // connection may still serve others.
+            Some(c) if !wanted => self.backends.put_back(backend, c),
+            Some(c) if self.backends.current(backend, &c) => self.write(key, c),
+            Some(_) => self.over(key, backend, Outcome::Moot),
+            None => self.over(key, backend, Outcome::ConnectFailed),
+        }
+    }
+
+    /// Writes an attempt's request and has its answer sent to the inbox.
+    fn write(&mut self, key: Key, connection: Connection) {
+        let Some(attempt) = self.attempts.get_mut(&key) else { return };
+        let wait_ms = (attempt.expires_ms - self.clock.now_ms()).floor().max(1.0) as u64;
+        let request = attempt.call.encode(wait_ms);
+        let until = self.clock.instant(attempt.expires_ms);
+        let (backend, fields, inbox) = (attempt.backend, Arc::clone(&self.load_fields), self.inbox.clone());
+        let task = tokio::spawn(async move {
+            let (reply, connection) = connection.exchange(request, until, fields).await;
+            let _ = inbox.send(Input::Ended { key, backend, reply, connection }).await;
+        });
+        attempt.phase = Phase::Writing(task.abort_handle());
+    }
+
+    fn cancel(&mut self, key: Key) {
+        let Some(attempt) = self.attempts.get(&key) else { return };
+        let outcome = match &attempt.phase {
+            Phase::Connecting => Outcome::Moot,
+            Phase::Writing(task) => {
+                task.abort();
+                Outcome::Cancelled
+            }
+        };
+        self.over(key, attempt.backend, outcome);
+    }
+
+    /// Takes in the first outcome of an attempt; later ones, as of an answer that crossed a cancel, are
+    /// passed over.
+    fn ended(&mut self, key: Key, reply: Reply) {
+        let Some(attempt) = self.attempts.remove(&key) else { return };
+        let (id, number) = key;
+        let (outcome, Facts { metered, charged, load }) = match reply {
+            Reply::Served(value, facts) => {
+                self.answer(id, Answer::Served(value));
+                (Outcome::Ok, facts)
+            }
+            Reply::Failed(outcome, facts) => (outcome, facts),
+        };
+        self.handle(Event::Ended {
+            id,
+            attempt: number,
+            backend: attempt.backend,
+            outcome,
+            latency_ms: self.clock.now_ms() - attempt.sent_ms,
+            closed: !self.open.contains_key(&id),
+            metered,
+            charged,
+            load: &load,
+        });
+    }
+
+    fn probe(&mut self, backend: u32) {
+        let way = self.backends.way(backend, Instant::now());
+        let (inbox, limit) = (self.inbox.clone(), self.connect_limit);
+        let fields = Arc::clone(&self.load_fields);
+        let probe = if fields.is_empty() { PROBES.0 } else { PROBES.1 };
+        tokio::spawn(async move {
+            let connection = match way {
+                Way::Open(connection) => Some(connection),
+                Way::New(dial) => dial.open(limit).await,
+                Way::Full | Way::Closed => None,
+            };
+            let (reply, connection) = match connection {
+                Some(c) => c.exchange(Bytes::from_static(probe), Instant::now() + limit, fields).await,
+                None => (Reply::failed(Outcome::ConnectFailed), None),
+            };
+            let _ = inbox.send(Input::Probed { backend, reply, connection }).await;
+        });
+    }
+
+    fn list(&mut self, scope: ListScope, endpoints: Vec<Endpoint>) {
+        let mut entries = Vec::with_capacity(endpoints.len());
+        for endpoint in endpoints {
+            let unused = self.numbers.len() as u32;
+            let zone = self.names.zones.iter().position(|z| *z == endpoint.zone);
+            let entry = BackendEntry {
+                id: *self.numbers.entry(endpoint.name).or_insert(unused),
+                state: endpoint.status.into(),
+                cell: endpoint.group,
+                zone: zone.map_or(u32::MAX, |z| z as u32),
+                started_ms: endpoint.since_ms,
+                weight: endpoint.weight,
+            };
+            self.backends.update(&entry, endpoint.address);
+            entries.push(entry);
+        }
+        if matches!(scope, ListScope::Full | ListScope::Cached) {
+            self.backends.keep_only(|id| entries.iter().any(|e| e.id == id));
+        }
+        self.handle(Event::Backends { scope, entries: &entries });
+    }
+}
--- /dev/null
+++ b/src/bin/slatelock-gateway/main.rs
@@ -0,0 +1,152 @@
+//! The gateway: serves clients on a socket by the decisions of the library.
+
+mod backends;
+mod clients;
+mod counter;
+mod discovery;
+mod driver;
+mod resp;
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::sync::atomic::AtomicU64;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Deserialize;
+use slatelock::interface::{ListScope, Settings, SettingsError};
+use slatelock::settings::{self, Keys, Names};
+use slatelock::Gateway;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::mpsc;
+use tokio::time::{sleep, sleep_until, timeout, Instant};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::backends::Backends;
+use crate::clients::Clients;
+use crate::counter::Counter;
+use crate::discovery::List;
+use crate::driver::{Clock, Driver, Input};
+
+/// Descriptors for all but clients and backends: the runtime, the counter, discovery, the log.
+const SPARE_SOCKETS: usize = 48;
+/// Inputs that may wait for the driver; who brings more waits.
+const INBOX: usize = 1024;
+/// How long the start waits for the list of backends before it goes by the known one.
+const FIRST_LIST: Duration = Duration::from_millis(500);
+/// How long new connections go on coming after SIGTERM.
+const ACCEPT_ON: Duration = Duration::from_millis(500);
+/// A request that is still open so long after SIGTERM fails, or earlier if the deadlines are shorter.
+const DRAIN_MOST_MS: f64 = 3_000.0;
+/// How long the last answers may take to be written.
+const LAST_ANSWERS: Duration = Duration::from_millis(200);
+
+/// What the configuration tells.
+struct Config {
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    counter: Option<SocketAddr>,
+    seed: u64,
+    sockets: usize,
+    known: List,
+    settings: Settings,
+    names: Names,
+}
+
+impl Config {
+    fn read(text: &[u8]) -> Result<Config, SettingsError> {
+        let json = settings::from_json("configuration", text)?;
+        let top = Keys::new("configuration", &json);
+        let address = |key: &str| match top.text(key)?.parse() {
+            Ok(address) => Ok(address),
+            Err(_) => Err(top.wrong(key, "an address with a port is wanted")),
+        };
+        let told = top.section("settings")?;
+        let settings = settings::read(&told)?;
+        settings.check()?;
+        let seed = u64::from_str_radix(top.text("seed")?, 16);
+        let known = List::deserialize(top.get("known")?);
+        Ok(Config {
+            listen: address("listen")?,
+            discovery: address("discovery")?,
+            counter: if settings.counter { Some(address("counter")?) } else { None },
+            seed: seed.map_err(|_| top.wrong("seed", "a hex number is wanted"))?,
+            sockets: top.section("limits")?.whole("sockets")? as usize,
+            known: known.map_err(|_| top.wrong("known", "a list of backends is wanted"))?,
+            names: settings::names(&told)?,
+            settings,
+        })
+    }
+}
+
+async fn serve(config: Config) -> Result<(), String> {
+    let Config { listen, discovery, counter, seed, sockets, known, settings, names } = config;
+    let failed = |what: &'static str| move |e: std::io::Error| format!("{what}: {e}");
+    let mut terminate = signal(SignalKind::terminate()).map_err(failed("SIGTERM"))?;
+    let listener = TcpListener::bind(listen).await.map_err(failed("listen"))?;
+    let clock = Clock::start();
+    let gateway = Gateway::new(settings.clone(), seed, clock.now_ms()).map_err(|e| e.to_string())?;
+
+    let (inbox, mut queue) = mpsc::channel(INBOX);
+    let wait = Duration::from_secs_f64(settings.counter_timeout_ms / 1000.0);
+    let counter = counter.map(|address| Counter::start(address, wait, &inbox));
+    let places = sockets.saturating_sub(SPARE_SOCKETS) / 2;
+    let backends = Backends::new(places, names.idle_close_ms);
+    let limits = &settings.limits;
+    let mut driver = Driver::new(gateway, clock, limits, names.clone(), backends, counter, inbox.clone());
+    driver.take(Input::List(ListScope::Cached, known.endpoints));
+    tokio::spawn(discovery::follow(discovery, inbox.clone()));
+    // Ready, with the list as it is now; if discovery is silent, with the known one.
+    if let Ok(Some(first)) = timeout(FIRST_LIST, queue.recv()).await {
+        driver.take(first);
+    }
+    tokio::spawn(driver.run(queue));
+
+    let deadline_ms = settings.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
+    let drain = Duration::from_secs_f64(deadline_ms.min(DRAIN_MOST_MS) / 1000.0);
+    let closing = CancellationToken::new();
+    let tasks = TaskTracker::new();
+    let clients = Arc::new(Clients {
+        settings,
+        names,
+        inbox: inbox.clone(),
+        last: AtomicU64::new(0),
+        closing: closing.clone(),
+        tasks: tasks.clone(),
+    });
+    let accepting = tokio::spawn(clients.accept(listener, places));
+    terminate.recv().await;
+    let end = Instant::now() + drain;
+    sleep(ACCEPT_ON.min(drain)).await;
+    accepting.abort();
+    closing.cancel();
+    tasks.close();
+    tokio::select! {
+        () = tasks.wait() => return Ok(()),
+        () = sleep_until(end) => {}
+    }
+    // Danger: what SIGKILL would find unanswered.
+    let _ = inbox.send(Input::FailAll).await;
+    let _ = timeout(LAST_ANSWERS, tasks.wait()).await;
+    Ok(())
+}
+
+fn run() -> Result<(), String> {
+    let path = std::env::var_os("GW_CONFIG").ok_or("GW_CONFIG: missing")?;
+    let text = std::fs::read(&path).map_err(|e| format!("GW_CONFIG: {}: {e}", path.to_string_lossy()))?;
+    let config = Config::read(&text).map_err(|e| e.to_string())?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.map_err(|e| format!("runtime: {e}"))?.block_on(serve(config))
+}
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("slatelock-gateway: {message}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/bin/slatelock-gateway/resp.rs
@@ -0,0 +1,239 @@
+//! RESP2 as clients and backends speak it: bounds on what is read, and the commands of the service.
+
+use bytes::{Bytes, BytesMut};
+use redis_protocol::resp2::decode::decode_bytes_mut;
+use redis_protocol::resp2::encode::extend_encode;
+use redis_protocol::resp2::types::BytesFrame;
+use slatelock::interface::{Effect, Settings};
+use slatelock::settings::Names;
+
+/// The longest value or body.
+const VALUE_MOST: usize = 64 * 1024;
+/// The longest line that is no value.
+const LINE_MOST: usize = 4 * 1024;
+/// The most elements of an array.
+const ELEMENTS_MOST: usize = 16;
+/// The most bytes of one message; more than this is never buffered.
+pub const MESSAGE_MOST: usize = VALUE_MOST + 2 * LINE_MOST;
+
+/// Bytes that no message can begin with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Malformed(pub &'static str);
+
+/// Takes the next whole message off the buffer; `None` if more bytes are needed.
+pub fn next(buffer: &mut BytesMut) -> Result<Option<BytesFrame>, Malformed> {
+    if measure(buffer)?.is_none() {
+        return Ok(None);
+    }
+    let decoded = decode_bytes_mut(buffer).map_err(|_| Malformed("not RESP"))?;
+    Ok(decoded.map(|(frame, _, _)| frame))
+}
+
+/// Length of the first message. Danger: lengths that fill the memory, and arrays in arrays, on which
+/// the decoder calls itself until the stack is gone. Neither is any message of this service.
+fn measure(buffer: &[u8]) -> Result<Option<usize>, Malformed> {
+    let (mut at, mut left) = (0, 1);
+    while left > 0 {
+        let rest = buffer.get(at..).unwrap_or_default();
+        let Some(length) = rest.windows(2).take(LINE_MOST).position(|w| w == b"\r\n") else {
+            return if rest.len() > LINE_MOST { Err(Malformed("line too long")) } else { Ok(None) };
+        };
+        let (kind, line) = rest[..length].split_first().ok_or(Malformed("empty line"))?;
+        let first = at == 0;
+        (at, left) = (at + length + 2, left - 1);
+        match kind {
+            b'*' if first => left = number(line, ELEMENTS_MOST)?.unwrap_or(0),
+            b'$' => {
+                let Some(value) = number(line, VALUE_MOST)? else { continue };
+                match buffer.get(at + value..at + value + 2) {
+                    None => return Ok(None),
+                    Some(b"\r\n") => at += value + 2,
+                    Some(_) => return Err(Malformed("value longer than announced")),
+                }
+            }
+            b'+' | b'-' | b':' => {}
+            _ => return Err(Malformed("unexpected type")),
+        }
+    }
+    Ok(Some(at))
+}
+
+/// A length; `None` for null.
+fn number(line: &[u8], most: usize) -> Result<Option<usize>, Malformed> {
+    if line == b"-1" {
+        return Ok(None);
+    }
+    let digits = !line.is_empty() && line.iter().all(u8::is_ascii_digit);
+    let text = std::str::from_utf8(line).ok().filter(|_| digits).ok_or(Malformed("bad length"))?;
+    match text.parse() {
+        Ok(n) if n <= most => Ok(Some(n)),
+        _ => Err(Malformed("too long")),
+    }
+}
+
+/// Appends a message. Encoding into a buffer that grows can't fail.
+fn put(buffer: &mut BytesMut, frame: &BytesFrame) {
+    let _ = extend_encode(buffer, frame, false);
+}
+
+/// What a client asks for.
+#[derive(Debug)]
+pub enum Command {
+    /// Whether the gateway serves.
+    Ping,
+    /// A request of a customer.
+    Call(Box<Call>),
+}
+
+/// A customer's request as it came.
+#[derive(Debug)]
+pub struct Call {
+    pub customer: u64,
+    pub plan: usize,
+    pub class: usize,
+    pub units: f64,
+    pub width: f64,
+    pub wait_ms: f64,
+    pub retry: bool,
+    forward: Forward,
+}
+
+/// What goes on to backends: all as it came but for the waiting time, which stands between two parts
+/// of the list of terms.
+#[derive(Debug)]
+struct Forward {
+    words: [Bytes; 3],
+    terms: (Bytes, Bytes),
+    body: Option<Bytes>,
+}
+
+impl Call {
+    /// The command for a backend that is given so long to answer.
+    pub fn encode(&self, wait_ms: u64) -> Bytes {
+        let (before, after) = &self.forward.terms;
+        let terms = [before, wait_ms.to_string().as_bytes(), after].concat();
+        let words = self.forward.words.iter().cloned().chain([Bytes::from(terms)]);
+        let words = words.chain(self.forward.body.clone());
+        let mut buffer = BytesMut::new();
+        put(&mut buffer, &BytesFrame::Array(words.map(BytesFrame::BulkString).collect()));
+        buffer.freeze()
+    }
+}
+
+/// A command that is none of this service, with what is wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Unknown(pub &'static str);
+
+impl Command {
+    /// Reads a client's command by the names of the settings.
+    pub fn read(frame: BytesFrame, settings: &Settings, names: &Names) -> Result<Command, Unknown> {
+        let BytesFrame::Array(words) = frame else { return Err(Unknown("a command is an array")) };
+        let words = words.into_iter().map(|word| match word {
+            BytesFrame::BulkString(bytes) => Ok(bytes),
+            _ => Err(Unknown("a command holds bulk strings alone")),
+        });
+        let mut words = words.collect::<Result<Vec<Bytes>, Unknown>>()?.into_iter();
+        let verb = words.next().ok_or(Unknown("empty command"))?;
+        let write = match () {
+            () if verb.eq_ignore_ascii_case(b"PING") && words.len() == 0 => return Ok(Command::Ping),
+            () if verb.eq_ignore_ascii_case(b"API.READ") => false,
+            () if verb.eq_ignore_ascii_case(b"API.WRITE") => true,
+            () => return Err(Unknown("unknown command")),
+        };
+        let (Some(customer), Some(id), Some(terms), body, None) =
+            (words.next(), words.next(), words.next(), words.next(), words.next())
+        else {
+            return Err(Unknown("wrong number of arguments"));
+        };
+        let number = hex(&customer).filter(|n| *n < 1 << 33).ok_or(Unknown("bad customer"))?;
+        hex(&id).ok_or(Unknown("bad request id"))?;
+        let text = std::str::from_utf8(&terms).map_err(|_| Unknown("bad terms"))?;
+        let (mut class, mut plan, mut wait, mut units, mut spread) = (None, None, None, None, None);
+        let (mut key, mut retry) = (false, false);
+        for term in text.split(',') {
+            let (name, value) = term.split_once('=').ok_or(Unknown("bad terms"))?;
+            match name {
+                "c" => class = names.classes.iter().position(|n| n == value),
+                "t" => plan = names.plans.iter().position(|n| n == value),
+                "d" => wait = amount(value).map(|ms| (ms, value)),
+                "k" => key = !value.is_empty(),
+                "r" => retry = value == "1",
+                "units" => units = amount(value),
+                "spread" => spread = amount(value),
+                "first" => drop(amount(value).ok_or(Unknown("bad first"))?),
+                _ => {}
+            }
+        }
+        let class = class.ok_or(Unknown("unknown class"))?;
+        let plan = plan.ok_or(Unknown("unknown plan"))?;
+        let (wait, digits) = wait.ok_or(Unknown("bad d"))?;
+        let units = units.ok_or(Unknown("bad units"))?;
+        let width = spread.ok_or(Unknown("bad spread"))?;
+        let settings = &settings.classes[class];
+        // Danger: a command that says safe of a class that is not, which a backend might run twice.
+        if (settings.effect == Effect::Safe) == write {
+            return Err(Unknown("wrong command for the class"));
+        }
+        if settings.effect == Effect::Keyed && !key {
+            return Err(Unknown("no idempotency key"));
+        }
+        // Danger: a time past all clocks. Nobody waits longer than the class allows.
+        let wait_ms = wait.min(settings.deadline_ms);
+        let at = digits.as_ptr() as usize - text.as_ptr() as usize;
+        let terms = (terms.slice(..at), terms.slice(at + digits.len()..));
+        let forward = Forward { words: [verb, customer, id], terms, body };
+        Ok(Command::Call(Box::new(Call {
+            customer: number,
+            plan,
+            class,
+            units,
+            width,
+            wait_ms,
+            retry,
+            forward,
+        })))
+    }
+}
+
+/// Sixteen hex digits.
+fn hex(word: &[u8]) -> Option<u64> {
+    let text = std::str::from_utf8(word).ok().filter(|t| t.len() == 16 && !t.starts_with('+'))?;
+    u64::from_str_radix(text, 16).ok()
+}
+
+/// A decimal number of 0 or more.
+pub fn amount(text: &str) -> Option<f64> {
+    let plain = text.bytes().all(|b| b.is_ascii_digit() || b == b'.');
+    text.parse().ok().filter(|n: &f64| plain && n.is_finite())
+}
+
+/// A final answer to a client.
+#[derive(Debug, PartialEq)]
+pub enum Answer {
+    /// The value as a backend gave it.
+    Served(Bytes),
+    /// Trying again is harmless; when to come again, ms.
+    Refused(Option<u64>),
+    /// Nothing is promised.
+    Failed,
+    /// Not a request of this service.
+    Unknown(&'static str),
+    /// The gateway serves.
+    Pong,
+}
+
+impl Answer {
+    /// Appends the answer.
+    pub fn put(self, buffer: &mut BytesMut) {
+        let error = |text: String| BytesFrame::Error(text.into());
+        let frame = match self {
+            Answer::Served(value) => BytesFrame::BulkString(value),
+            Answer::Refused(None) => error("BUSY".to_string()),
+            Answer::Refused(Some(ms)) => error(format!("BUSY {ms}")),
+            Answer::Failed => error("ERR failed".to_string()),
+            Answer::Unknown(what) => error(format!("ERR {what}")),
+            Answer::Pong => BytesFrame::SimpleString(Bytes::from_static(b"PONG")),
+        };
+        put(buffer, &frame);
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,8 @@
 
 mod control;
 pub mod interface;
+#[cfg(feature = "programs")]
+pub mod settings;
 mod state;
 
 pub use control::Gateway;
