--- a/src/bin/slatelock-gateway/clients.rs
+++ b/src/bin/slatelock-gateway/clients.rs
@@ -22,6 +22,8 @@
 const PIPELINE_MOST: usize = 128;
 /// A client that takes no bytes for so long is gone.
 const WRITE_MOST: Duration = Duration::from_secs(10);
+/// How long a client may take to close after the gateway has.
+const LINGER: Duration = Duration::from_millis(200);
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -104,7 +106,7 @@
             }
             let over = self.owed.is_empty() && (self.last || closing.is_cancelled());
             if over && !self.more(&mut input) {
-                let _ = self.stream.shutdown().await;
+                let _ = timeout(LINGER, self.linger()).await;
                 return;
             }
             let reading = !self.last && self.owed.len() < PIPELINE_MOST;
@@ -172,6 +174,15 @@
         !self.last && matches!(self.stream.try_read_buf(input), Ok(n) if n > 0)
     }
 
+    /// Danger: bytes that nobody reads when the connection closes. They reset it, and the client loses
+    /// the last answer.
+    async fn linger(&mut self) -> std::io::Result<()> {
+        self.stream.shutdown().await?;
+        let mut unread = [0; 4096];
+        while self.stream.read(&mut unread).await? > 0 {}
+        Ok(())
+    }
+
     /// Tells of the requests whose client is gone.
     async fn left(&mut self) {
         for owed in self.owed.drain(..) {
--- a/src/bin/slatelock-gateway/main.rs
+++ b/src/bin/slatelock-gateway/main.rs
@@ -116,6 +116,7 @@
         closing: closing.clone(),
         tasks: tasks.clone(),
     });
+    println!("listening on {}", listener.local_addr().map_err(failed("listen"))?);
     let accepting = tokio::spawn(clients.accept(listener, places));
     terminate.recv().await;
     let end = Instant::now() + drain;
