Make two tests fail without what they guard

Two tests passed all the same, as a read that timed out was taken for a closed connection, and as the deadline ended the attempt anyway. Both fail now when the counter's stall limit or the abort of a cancelled attempt is taken out.

--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -189,9 +189,10 @@
 
 #[test]
 fn the_attempt_of_a_client_that_left_is_given_up() {
-    let rig = Rig::new();
+    // Far more time than the test waits, so that no deadline ends the attempt.
+    let rig = Rig::with(1, |config| config["settings"]["profiles"][0]["deadline-ms"] = json!(600_000.0));
     let mut client = rig.gateway.client();
-    client.send(&words(&call(1, "safe", "free", 1, 8000)));
+    client.send(&words(&call(1, "safe", "free", 1, 600_000)));
     let (_, arrived) = rig.next();
     drop(client);
     arrived.closed();
--- a/tests/support/net.rs
+++ b/tests/support/net.rs
@@ -107,7 +107,10 @@
     pub fn closed(&self) {
         self.stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
         let mut byte = [0];
-        assert!(matches!(self.stream.peek(&mut byte), Ok(0) | Err(_)), "more came on it");
+        match self.stream.peek(&mut byte) {
+            Ok(n) => assert_eq!(n, 0, "more came on it"),
+            Err(e) => assert_eq!(e.kind(), std::io::ErrorKind::ConnectionReset, "{e}"),
+        }
     }
 }
 
