Test that connections beyond the descriptors are told to come again

A client beyond the room for connections gets -BUSY and no hanging connection. It is written with a short wait for the socket to be writable, on which try_write does not wait. The test passes with either, so this is caution and not the mend of a failure that was seen.

--- a/src/bin/slatelock-gateway/clients.rs
+++ b/src/bin/slatelock-gateway/clients.rs
@@ -45,7 +45,7 @@
     pub async fn accept(self: Arc<Self>, listener: TcpListener, most: usize) {
         let places = Arc::new(Semaphore::new(most));
         loop {
-            let stream = match listener.accept().await {
+            let mut stream = match listener.accept().await {
                 Ok((stream, _)) => stream,
                 Err(_) => {
                     // Danger: no descriptor left, and a loop that does nothing but fail.
@@ -55,7 +55,7 @@
             };
             let Ok(place) = Arc::clone(&places).try_acquire_owned() else {
                 // Danger: more connections than descriptors. Whoever comes too late is told so.
-                let _ = stream.try_write(b"-BUSY\r\n");
+                let _ = timeout(ACCEPT_PAUSE, stream.write_all(b"-BUSY\r\n")).await;
                 continue;
             };
             let clients = Arc::clone(&self);
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -524,6 +524,19 @@
     }
 }
 
+#[test]
+fn connections_beyond_the_descriptors_are_told_to_come_again() {
+    // Room for one client.
+    let rig = Rig::with(1, |config| config["limits"]["sockets"] = json!(50));
+    // The one that asked whether it is ready may still be closing.
+    let mut kept = rig.gateway.client();
+    while kept.ask_or_end(&["PING"]) != "+PONG" {
+        kept = rig.gateway.client();
+    }
+    assert_eq!(rig.gateway.client().read(), "-BUSY");
+    assert_eq!(kept.ask(&["PING"]), "+PONG");
+}
+
 #[test]
 fn sigterm_lets_what_was_taken_finish_and_closes_idle_connections() {
     let mut rig = Rig::with(1, |_| {});
--- a/tests/support/net.rs
+++ b/tests/support/net.rs
@@ -380,6 +380,14 @@
         message(&mut self.stream).map_or("(end)".to_string(), |words| words.concat())
     }
 
+    /// Asks on a connection that the gateway may be about to close.
+    pub fn ask_or_end(&mut self, words: &[&str]) -> String {
+        match self.stream.get_mut().write_all(&command(words)) {
+            Ok(()) => self.read(),
+            Err(_) => "(end)".to_string(),
+        }
+    }
+
     pub fn ask(&mut self, words: &[&str]) -> String {
         self.send(words);
         self.read()
