Close connections nobody uses when places run short, and read the configuration again at SIGHUP

At fault: clients.rs accept, which answered BUSY once all places were held, while serve kept silent, half-spoken and once-used connections for good. Now the acceptor closes those that never spoke (0.1 s) and then the longest quiet (2 s) when few places are left; a first command has 2 s, one begun 2 s, a quiet connection 15 s. What is open or half read is never closed for room.

Now the file is read again; discovery and counter go over, the old watch is aborted, calls out at the old counter settle as maybe added, and a bad file leaves all as it was with a line in the log.

Descriptors kept for all else: 32 in place of 48, counted out in main.rs.

--- a/src/bin/slatelock-gateway/clients.rs
+++ b/src/bin/slatelock-gateway/clients.rs
@@ -1,8 +1,9 @@
 //! The clients' side: the listener, and on each connection commands in and answers out in order.
 
 use std::collections::VecDeque;
+use std::pin::pin;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Weak};
 use std::time::Duration;
 
 use bytes::BytesMut;
@@ -10,8 +11,8 @@
 use slatelock::settings::Names;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, oneshot, Semaphore};
-use tokio::time::{sleep, timeout};
+use tokio::sync::{mpsc, oneshot, Notify, OwnedSemaphorePermit, Semaphore};
+use tokio::time::{sleep, timeout, Instant};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -22,10 +23,22 @@
 const PIPELINE_MOST: usize = 32;
 /// A client that takes no bytes for so long is gone.
 const WRITE_MOST: Duration = Duration::from_secs(10);
-/// How long a client may take to close after the gateway has.
-const LINGER: Duration = Duration::from_millis(200);
+/// How long a client that was told an error may take to close after the gateway has, and what it may
+/// still send.
+const LINGER: (Duration, usize) = (Duration::from_millis(200), 256 * 1024);
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// How long a new connection may stay silent, and a command that has begun may take to come whole.
+const FIRST_MOST: Duration = Duration::from_millis(2_000);
+const WHOLE_MOST: Duration = Duration::from_millis(2_000);
+/// How long a connection on which nothing is open is kept.
+const QUIET_MOST: Duration = Duration::from_secs(15);
+/// How long it is kept at least when places run short, after a command and before the first.
+const QUIET_LEAST: (Duration, Duration) = (Duration::from_millis(2_050), Duration::from_millis(100));
+/// Part of the places that is kept free by closing quiet connections.
+const FREE_PART: usize = 16;
+/// How long a new connection may wait for a place, and how often one is looked for.
+const PLACE_MOST: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(20));
 
 /// What all client connections share.
 #[derive(Debug)]
@@ -43,7 +56,7 @@
 impl Clients {
     /// Accepts connections until the task ends, at most so many at once.
     pub async fn accept(self: Arc<Self>, listener: TcpListener, most: usize) {
-        let places = Arc::new(Semaphore::new(most));
+        let mut places = Places { free: Arc::new(Semaphore::new(most)), seats: Vec::new(), most };
         loop {
             let mut stream = match listener.accept().await {
                 Ok((stream, _)) => stream,
@@ -53,14 +66,15 @@
                     continue;
                 }
             };
-            let Ok(place) = Arc::clone(&places).try_acquire_owned() else {
+            let Some((place, seat)) = places.take().await else {
                 // Danger: more connections than descriptors. Whoever comes too late is told so.
                 let _ = timeout(ACCEPT_PAUSE, stream.write_all(b"-BUSY\r\n")).await;
                 continue;
             };
             let clients = Arc::clone(&self);
             self.tasks.spawn(async move {
-                let mut connection = Client { clients, stream, owed: VecDeque::new(), last: false };
+                let (owed, quiet) = (VecDeque::new(), Some(seat.opened));
+                let mut connection = Client { clients, stream, seat, owed, quiet, begun: None, last: false };
                 connection.serve().await;
                 connection.left().await;
                 drop(place);
@@ -69,6 +83,72 @@
     }
 }
 
+/// A connection as the acceptor knows it.
+#[derive(Debug)]
+struct Seat {
+    opened: Instant,
+    /// Milliseconds from then until the last answer was given with no command after it; 0 before the first
+    /// command, and [`BUSY`] while one is open or half read.
+    quiet_ms: AtomicU64,
+    /// Says that the connection is to close if it is still quiet.
+    leave: Notify,
+}
+
+/// A connection that may not be closed.
+const BUSY: u64 = u64::MAX;
+
+/// The connections that there may be at once. Danger: clients that say nothing, or keep connections that
+/// they don't use, until no place is left for others.
+struct Places {
+    free: Arc<Semaphore>,
+    seats: Vec<Weak<Seat>>,
+    most: usize,
+}
+
+impl Places {
+    /// A place for a new connection; `None` if none falls free in time.
+    async fn take(&mut self) -> Option<(OwnedSemaphorePermit, Arc<Seat>)> {
+        let until = Instant::now() + PLACE_MOST.0;
+        let place = loop {
+            // Some are kept free, so that usually nobody waits here.
+            self.make_room((self.most / FREE_PART).max(1).saturating_sub(self.free.available_permits()));
+            match timeout(PLACE_MOST.1, Arc::clone(&self.free).acquire_owned()).await {
+                Ok(place) => break place.ok()?,
+                Err(_) if Instant::now() < until => {}
+                Err(_) => return None,
+            }
+        };
+        let (opened, quiet_ms, leave) = (Instant::now(), AtomicU64::new(0), Notify::new());
+        let seat = Arc::new(Seat { opened, quiet_ms, leave });
+        if self.seats.len() >= 2 * self.most {
+            self.seats.retain(|seat| seat.strong_count() > 0);
+        }
+        self.seats.push(Arc::downgrade(&seat));
+        Some((place, seat))
+    }
+
+    /// Tells so many quiet connections to leave: first those that never said anything, then those that
+    /// have been quiet for longest.
+    fn make_room(&mut self, wanted: usize) {
+        if wanted == 0 {
+            return;
+        }
+        let mut quiet: Vec<(bool, Instant, Arc<Seat>)> = Vec::new();
+        self.seats.retain(|seat| {
+            let Some(seat) = seat.upgrade() else { return false };
+            let quiet_ms = seat.quiet_ms.load(Ordering::Relaxed);
+            let (spoke, since) = (quiet_ms > 0, seat.opened + Duration::from_millis(quiet_ms.min(1 << 40)));
+            let least = if spoke { QUIET_LEAST.0 } else { QUIET_LEAST.1 };
+            if quiet_ms != BUSY && since.elapsed() > least {
+                quiet.push((spoke, since, seat));
+            }
+            true
+        });
+        quiet.sort_unstable_by_key(|(spoke, since, _)| (*spoke, *since));
+        quiet.into_iter().take(wanted).for_each(|(_, _, seat)| seat.leave.notify_one());
+    }
+}
+
 /// An answer that is owed, in the order of the commands.
 enum Owed {
     Later(u64, oneshot::Receiver<Answer>),
@@ -78,7 +158,12 @@
 struct Client {
     clients: Arc<Clients>,
     stream: TcpStream,
+    seat: Arc<Seat>,
     owed: VecDeque<Owed>,
+    /// Since when nothing is open or half read.
+    quiet: Option<Instant>,
+    /// Since when a command is half read.
+    begun: Option<Instant>,
     /// Nothing more is read: what came was no RESP.
     last: bool,
 }
@@ -91,6 +176,7 @@
         if self.stream.set_nodelay(true).is_err() {
             return;
         }
+        let mut timer = pin!(sleep(FIRST_MOST));
         loop {
             self.commands(&mut input).await;
             self.ready(&mut output);
@@ -104,12 +190,18 @@
                     continue;
                 }
             }
-            let over = self.owed.is_empty() && (self.last || closing.is_cancelled());
-            if over && !self.more(&mut input) {
-                let _ = timeout(LINGER, self.linger()).await;
+            if self.last && self.owed.is_empty() {
+                let _ = timeout(LINGER.0, self.linger()).await;
                 return;
             }
             let reading = !self.last && self.owed.len() < PIPELINE_MOST;
+            if self.note(&input, reading) {
+                timer.as_mut().reset(Instant::now() + WHOLE_MOST);
+            }
+            if self.quiet.is_some() && closing.is_cancelled() && !self.more(&mut input) {
+                let _ = timeout(LINGER.0, self.linger()).await;
+                return;
+            }
             input.reserve(if reading { resp::READING } else { 0 });
             tokio::select! {
                 answer = next(&mut self.owed) => {
@@ -120,18 +212,63 @@
                     Ok(0) | Err(_) => return,
                     Ok(_) => {}
                 },
-                () = closing.cancelled(), if self.owed.is_empty() => {}
+                () = closing.cancelled(), if self.quiet.is_some() => {}
+                () = self.seat.leave.notified() => {
+                    if self.quiet.is_some() && !self.more(&mut input) {
+                        return;
+                    }
+                }
+                () = &mut timer => match self.due() {
+                    Some(due) if due > Instant::now() => timer.as_mut().reset(due),
+                    Some(_) if self.quiet.is_some() => {
+                        if !self.more(&mut input) {
+                            return;
+                        }
+                    }
+                    Some(_) => {
+                        self.last = true;
+                        self.owed.push_back(Owed::Now(Answer::Unknown("command not ended in time")));
+                    }
+                    None => timer.as_mut().reset(Instant::now() + WHOLE_MOST),
+                }
             }
         }
     }
 
+    /// Notes whether anything is open or half read; tells whether a command has begun just now.
+    fn note(&mut self, input: &[u8], reading: bool) -> bool {
+        let half = reading && !input.is_empty();
+        let begins = half && self.begun.is_none();
+        self.begun = if half { self.begun.or_else(|| Some(Instant::now())) } else { None };
+        if half || !self.owed.is_empty() {
+            self.quiet = None;
+            self.seat.quiet_ms.store(BUSY, Ordering::Relaxed);
+        } else if self.quiet.is_none() {
+            self.quiet = Some(Instant::now());
+            let quiet_ms = self.seat.opened.elapsed().as_millis() as u64;
+            self.seat.quiet_ms.store(quiet_ms.max(1), Ordering::Relaxed);
+        }
+        begins
+    }
+
+    /// When the present state has lasted too long, if it is one that may.
+    fn due(&self) -> Option<Instant> {
+        let spoke = self.seat.quiet_ms.load(Ordering::Relaxed) > 0;
+        let quiet = self.quiet.map(|since| since + if spoke { QUIET_MOST } else { FIRST_MOST });
+        quiet.or(self.begun.map(|since| since + WHOLE_MOST))
+    }
+
     /// Takes the whole commands off the input.
     async fn commands(&mut self, input: &mut BytesMut) {
         while !self.last && self.owed.len() < PIPELINE_MOST {
             let frame = match resp::next(input) {
-                Ok(Some(frame)) => frame,
+                Ok(Some(frame)) => {
+                    self.begun = None;
+                    frame
+                }
                 Ok(None) => return,
                 Err(malformed) => {
+                    input.clear();
                     self.last = true;
                     self.owed.push_back(Owed::Now(Answer::Unknown(malformed.0)));
                     return;
@@ -178,8 +315,13 @@
     /// the last answer.
     async fn linger(&mut self) -> std::io::Result<()> {
         self.stream.shutdown().await?;
-        let mut unread = [0; 4096];
-        while self.stream.read(&mut unread).await? > 0 {}
+        let (mut unread, mut left) = ([0; 4096], LINGER.1);
+        while left > 0 {
+            match self.stream.read(&mut unread).await? {
+                0 => break,
+                n => left = left.saturating_sub(n),
+            }
+        }
         Ok(())
     }
 
--- a/src/bin/slatelock-gateway/discovery.rs
+++ b/src/bin/slatelock-gateway/discovery.rs
@@ -14,6 +14,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout, Instant};
+use tokio_util::task::AbortOnDropHandle;
 
 use crate::driver::Input;
 
@@ -83,7 +84,8 @@
     let Ok(Ok(stream)) = timeout(ANSWER, TcpStream::connect(agent)).await else { return false };
     let _ = stream.set_nodelay(true);
     let Ok((mut sender, connection)) = http1::handshake(TokioIo::new(stream)).await else { return false };
-    let connection = tokio::spawn(connection);
+    // Danger: a watch of an agent that is no longer asked, kept open until it answers.
+    let _connection = AbortOnDropHandle::new(tokio::spawn(connection));
     let mut index = None;
     loop {
         let (path, wait) = match index {
@@ -94,7 +96,6 @@
         };
         let asked = Instant::now();
         let Ok(Some(list)) = timeout(wait + ANSWER, get(&mut sender, agent, &path)).await else {
-            connection.abort();
             return index.is_some();
         };
         let news = index != Some(list.index);
--- a/src/bin/slatelock-gateway/driver.rs
+++ b/src/bin/slatelock-gateway/driver.rs
@@ -90,6 +90,8 @@
         outcome: Outcome,
         total: f64,
     },
+    /// The counter is at another address now.
+    Counter(Counter),
     List(ListScope, Vec<Endpoint>),
     Due(Due),
     /// The gateway is about to end: what is still open fails now.
@@ -254,6 +256,15 @@
                     self.handle(Event::Counted { name, outcome: Outcome::Timeout, total: 0.0 });
                 }
             }
+            Input::Counter(counter) => {
+                self.counter = Some(counter);
+                // Danger: answers of the old counter, taken in after those of the new. What is out there may
+                // have been added.
+                let mut out: Vec<u64> = self.calls.keys().copied().collect();
+                out.sort_unstable();
+                let settled = |number| Input::Counted { number, outcome: Outcome::Timeout, total: 0.0 };
+                self.next.extend(out.into_iter().map(settled));
+            }
             Input::List(scope, endpoints) => self.list(scope, endpoints),
             Input::Due(Due::Timer(token)) => self.handle(Event::Timer { token }),
             Input::FailAll => {
--- a/src/bin/slatelock-gateway/main.rs
+++ b/src/bin/slatelock-gateway/main.rs
@@ -7,7 +7,9 @@
 mod driver;
 mod resp;
 
+use std::fmt;
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::atomic::AtomicU64;
 use std::sync::Arc;
@@ -18,11 +20,11 @@
 use slatelock::settings::{self, Keys, Names};
 use slatelock::Gateway;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::mpsc;
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 use tokio_util::sync::CancellationToken;
-use tokio_util::task::TaskTracker;
+use tokio_util::task::{AbortOnDropHandle, TaskTracker};
 
 use crate::backends::Backends;
 use crate::clients::Clients;
@@ -30,8 +32,9 @@
 use crate::discovery::List;
 use crate::driver::{Clock, Driver, Input};
 
-/// Descriptors for all but clients and backends: the runtime, the counter, discovery, the log.
-const SPARE_SOCKETS: usize = 48;
+/// Descriptors for all but clients and backends: the runtime, the log, and the counter and discovery twice,
+/// as the old connections may still stand when a new configuration names others.
+const SPARE_SOCKETS: usize = 32;
 /// Inputs that may wait for the driver; who brings more waits.
 const INBOX: usize = 1024;
 /// How long the start waits for the list of backends before it goes by the known one.
@@ -43,11 +46,18 @@
 /// How long the last answers may take to be written.
 const LAST_ANSWERS: Duration = Duration::from_millis(200);
 
+/// Whom the gateway calls; a new configuration may name others.
+#[derive(Clone, Copy, Debug)]
+struct Peers {
+    discovery: SocketAddr,
+    /// `None` where the settings know no counter.
+    counter: Option<SocketAddr>,
+}
+
 /// What the configuration tells.
 struct Config {
     listen: SocketAddr,
-    discovery: SocketAddr,
-    counter: Option<SocketAddr>,
+    peers: Peers,
     seed: u64,
     sockets: usize,
     known: List,
@@ -56,7 +66,12 @@
 }
 
 impl Config {
-    fn read(text: &[u8]) -> Result<Config, SettingsError> {
+    fn read(path: &Path) -> Result<Config, ConfigError> {
+        let text = std::fs::read(path).map_err(|e| ConfigError::File(path.to_path_buf(), e))?;
+        Ok(Config::parse(&text)?)
+    }
+
+    fn parse(text: &[u8]) -> Result<Config, SettingsError> {
         let json = settings::from_json("configuration", text)?;
         let top = Keys::new("configuration", &json);
         let address = |key: &str| match top.text(key)?.parse() {
@@ -70,8 +85,10 @@
         let known = List::deserialize(top.get("known")?);
         Ok(Config {
             listen: address("listen")?,
-            discovery: address("discovery")?,
-            counter: if settings.counter { Some(address("counter")?) } else { None },
+            peers: Peers {
+                discovery: address("discovery")?,
+                counter: if settings.counter { Some(address("counter")?) } else { None },
+            },
             seed: seed.map_err(|_| top.wrong("seed", "a hex number is wanted"))?,
             sockets: top.section("limits")?.whole("sockets")? as usize,
             known: known.map_err(|_| top.wrong("known", "a list of backends is wanted"))?,
@@ -81,23 +98,78 @@
     }
 }
 
-async fn serve(config: Config) -> Result<(), String> {
-    let Config { listen, discovery, counter, seed, sockets, known, settings, names } = config;
+/// Why a configuration can't be had.
+#[derive(Debug)]
+enum ConfigError {
+    File(PathBuf, std::io::Error),
+    Settings(SettingsError),
+}
+
+impl From<SettingsError> for ConfigError {
+    fn from(e: SettingsError) -> Self {
+        ConfigError::Settings(e)
+    }
+}
+
+impl fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ConfigError::File(path, e) => write!(f, "GW_CONFIG: {}: {e}", path.display()),
+            ConfigError::Settings(e) => e.fmt(f),
+        }
+    }
+}
+
+/// Follows discovery, and at each SIGHUP goes over to the discovery and the counter that the file names
+/// by then. Danger: a file that can't be used; the old addresses stay. All else is read at the start alone.
+async fn follow(
+    path: PathBuf,
+    mut hangup: Signal,
+    mut now: Peers,
+    wait: Duration,
+    inbox: mpsc::Sender<Input>,
+) {
+    let watch = |agent| AbortOnDropHandle::new(tokio::spawn(discovery::follow(agent, inbox.clone())));
+    let mut watching = watch(now.discovery);
+    while hangup.recv().await.is_some() {
+        let new = match Config::read(&path) {
+            Ok(config) => config.peers,
+            Err(e) => {
+                eprintln!("slatelock-gateway: SIGHUP: {e}; the old configuration stays");
+                continue;
+            }
+        };
+        if new.discovery != now.discovery {
+            watching.abort();
+            watching = watch(new.discovery);
+        }
+        let moved = new.counter.filter(|_| now.counter.is_some() && new.counter != now.counter);
+        if let Some(address) = moved {
+            // Fails only when the gateway ends.
+            let _ = inbox.send(Input::Counter(Counter::start(address, wait, &inbox))).await;
+        }
+        now = Peers { discovery: new.discovery, counter: moved.or(now.counter) };
+    }
+}
+
+async fn serve(config: Config, path: PathBuf) -> Result<(), String> {
+    let Config { listen, peers, seed, sockets, known, settings, names } = config;
     let failed = |what: &'static str| move |e: std::io::Error| format!("{what}: {e}");
     let mut terminate = signal(SignalKind::terminate()).map_err(failed("SIGTERM"))?;
+    let hangup = signal(SignalKind::hangup()).map_err(failed("SIGHUP"))?;
     let listener = TcpListener::bind(listen).await.map_err(failed("listen"))?;
     let clock = Clock::start();
     let gateway = Gateway::new(settings.clone(), seed, clock.now_ms()).map_err(|e| e.to_string())?;
 
     let (inbox, mut queue) = mpsc::channel(INBOX);
     let wait = Duration::from_secs_f64(settings.counter_timeout_ms / 1000.0);
-    let counter = counter.map(|address| Counter::start(address, wait, &inbox));
+    let counter = peers.counter.map(|address| Counter::start(address, wait, &inbox));
     let places = sockets.saturating_sub(SPARE_SOCKETS) / 2;
     let backends = Backends::new(places, names.idle_close_ms);
     let limits = &settings.limits;
     let mut driver = Driver::new(gateway, clock, limits, names.clone(), backends, counter, inbox.clone());
     driver.take(Input::List(ListScope::Cached, known.endpoints));
-    tokio::spawn(discovery::follow(discovery, inbox.clone()));
+    tokio::spawn(follow(path, hangup, peers, wait, inbox.clone()));
     // Ready, with the list as it is now; if discovery is silent, with the known one.
     if let Ok(Some(first)) = timeout(FIRST_LIST, queue.recv()).await {
         driver.take(first);
@@ -135,11 +207,10 @@
 }
 
 fn run() -> Result<(), String> {
-    let path = std::env::var_os("GW_CONFIG").ok_or("GW_CONFIG: missing")?;
-    let text = std::fs::read(&path).map_err(|e| format!("GW_CONFIG: {}: {e}", path.to_string_lossy()))?;
-    let config = Config::read(&text).map_err(|e| e.to_string())?;
+    let path = PathBuf::from(std::env::var_os("GW_CONFIG").ok_or("GW_CONFIG: missing")?);
+    let config = Config::read(&path).map_err(|e| e.to_string())?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    runtime.map_err(|e| format!("runtime: {e}"))?.block_on(serve(config))
+    runtime.map_err(|e| format!("runtime: {e}"))?.block_on(serve(config, path))
 }
 
 fn main() -> ExitCode {
--- /dev/null
+++ b/tests/clients.rs
@@ -0,0 +1,124 @@
+//! The built gateway and what clients may not do to it, on loopback sockets.
+
+#[path = "support/net.rs"]
+mod net;
+
+use net::*;
+use serde_json::{json, Value};
+
+#[test]
+fn the_attempt_of_a_client_that_left_is_given_up() {
+    // Far more time than the test waits, so that no deadline ends the attempt.
+    let rig = Rig::with(1, |config| config["settings"]["profiles"][0]["deadline-ms"] = json!(600_000.0));
+    let mut client = rig.gateway.client();
+    client.send(&words(&call(1, "safe", "free", 1, 600_000)));
+    let (_, arrived) = rig.next();
+    drop(client);
+    arrived.closed();
+}
+
+#[test]
+fn malformed_commands_are_told_so_and_end_the_connection() {
+    let mut rig = Rig::with(1, |_| {});
+    let long = format!("*5\r\n$9\r\nAPI.WRITE\r\n$65537\r\n{}", "x".repeat(65_537));
+    let many = format!("*5\r\n$60000\r\n{0}\r\n$60000\r\n{0}", "x".repeat(60_000));
+    let deep = "*1\r\n".repeat(16_000);
+    for bytes in
+        ["GET / HTTP/1.1\r\n\r\n", "*1\r\n$-5\r\n", "*1\r\n$1\r\nxyz", "*99999999\r\n", &long, &many, &deep]
+    {
+        let mut client = rig.gateway.client();
+        client.write(bytes.as_bytes());
+        assert!(client.read().starts_with("-ERR"), "{:?}", &bytes[..16]);
+        assert_eq!(client.read(), "(end)");
+    }
+    assert!(rig.gateway.runs() && rig.idle());
+}
+
+#[test]
+fn commands_that_are_none_of_the_service_are_refused_one_by_one() {
+    let rig = Rig::with(1, |_| {});
+    let mut client = rig.gateway.client();
+    let good = call(1, "safe", "free", 1, 8000);
+    let with = |place: usize, from: &str, to: &str| {
+        let mut changed = good.clone();
+        changed[place] = changed[place].replace(from, to);
+        changed
+    };
+    let bad = [
+        with(0, "API.READ", "API.DELETE"),
+        with(0, "API.READ", "API.WRITE"),
+        with(1, "00000000", "ffffffff"),
+        with(1, "b4d65521", "nonsense"),
+        with(2, "0001", "1"),
+        with(3, "c=safe", "c=other"),
+        with(3, "t=free", "t=other"),
+        with(3, "d=8000", "d=soon"),
+        with(3, "d=8000,", ""),
+        with(3, "units=1", "units=NaN"),
+        with(3, "units=1", "units=-1"),
+        with(3, "spread=2", "spread="),
+        with(3, ",", ";"),
+        good[..3].to_vec(),
+        vec!["SUBSCRIBE".to_string()],
+    ];
+    for words in bad {
+        let words: Vec<&str> = words.iter().map(String::as_str).collect();
+        assert!(client.ask(&words).starts_with("-ERR"), "{words:?}");
+    }
+    // A keyed class without its key.
+    let mut keyless = call(2, "keyed", "free", 1, 8000);
+    keyless[3] = keyless[3].replace(",k=5c0f6e1a2b3d4c59", "");
+    assert!(client.ask(&words(&keyless)).starts_with("-ERR"));
+    assert!(rig.idle(), "something was sent on");
+    rig.serve_one(&mut client, 9);
+}
+
+/// A configuration with descriptors for one client and one backend.
+fn narrow(config: &mut Value) {
+    config["limits"]["sockets"] = json!(34);
+}
+
+#[test]
+fn connections_beyond_the_descriptors_are_told_to_come_again() {
+    let rig = Rig::with(1, narrow);
+    // The one that asked whether it is ready may still be closing.
+    let mut kept = rig.gateway.client();
+    while kept.ask_or_end(&["PING"]) != "+PONG" {
+        kept = rig.gateway.client();
+    }
+    kept.send(&words(&call(1, "safe", "free", 1, 8000)));
+    let (_, mut arrived) = rig.next();
+    assert_eq!(rig.gateway.client().read(), "-BUSY");
+    arrived.serve("fine");
+    assert_eq!(kept.read(), "fine");
+}
+
+#[test]
+fn a_connection_that_is_not_used_makes_room_for_a_new_one() {
+    let rig = Rig::with(1, narrow);
+    // One that asks once and stays, then one that says nothing at all.
+    let mut idle = rig.gateway.client();
+    while idle.ask_or_end(&["PING"]) != "+PONG" {
+        idle = rig.gateway.client();
+    }
+    let mut silent = rig.gateway.client();
+    while silent.read() == "-BUSY" {
+        silent = rig.gateway.client();
+    }
+    assert_eq!(idle.read(), "(end)");
+    let mut client = rig.gateway.client();
+    while client.ask_or_end(&["PING"]) != "+PONG" {
+        client = rig.gateway.client();
+    }
+    rig.serve_one(&mut client, 1);
+}
+
+#[test]
+fn a_client_that_says_nothing_or_half_a_command_is_turned_away() {
+    let rig = Rig::with(1, |_| {});
+    let (mut silent, mut half) = (rig.gateway.client(), rig.gateway.client());
+    half.write(b"*5\r\n$9\r\nAPI.WRITE\r\n$16\r\n0000");
+    assert_eq!(silent.read(), "(end)");
+    assert!(half.read().starts_with("-ERR"));
+    assert_eq!(half.read(), "(end)");
+}
--- /dev/null
+++ b/tests/counter.rs
@@ -0,0 +1,137 @@
+//! The built gateway and the shared counter's troubles, on loopback sockets.
+
+#[path = "support/net.rs"]
+mod net;
+
+use std::thread::sleep;
+use std::time::Duration;
+
+use net::*;
+use serde_json::json;
+
+/// Longer than the gateway keeps off a counter whose connection broke once.
+const KEEP_OFF: Duration = Duration::from_millis(300);
+
+/// Longer than a silent connection is kept where calls end after 30 ms.
+const STALLED: Duration = Duration::from_millis(400);
+
+/// Has requests served until one is preceded by a call to the counter; while calls fail, some are left
+/// out by chance.
+fn until_called(rig: &Rig, client: &mut Client) -> Arrived {
+    for id in 100..150 {
+        client.send(&words(&call(id, "safe", "paid", 60, 8000)));
+        let all: Vec<&StandIn> = rig.backends.iter().chain([&rig.counter]).collect();
+        let (place, mut arrived) = next_of(&all);
+        if place == rig.backends.len() {
+            return arrived;
+        }
+        arrived.serve("fine");
+        assert_eq!(client.read(), "fine");
+    }
+    panic!("no call");
+}
+
+/// Plays a scenario that needs two calls of one name. The windows that name them go by the wall clock;
+/// one that ends in between (`None`) says nothing, and the next is 30 s long.
+fn within_a_window(scenario: impl Fn() -> Option<()>) {
+    assert!((0..3).any(|_| scenario().is_some()), "no two calls had one name");
+}
+
+#[test]
+fn a_silent_counter_does_not_hold_a_request_and_its_late_answer_is_nobody_elses() {
+    within_a_window(|| {
+        let rig = Rig::with(1, roomy);
+        let mut client = rig.gateway.client();
+        client.send(&words(&call(1, "safe", "paid", 60, 8000)));
+        let mut late = rig.counter.next();
+        // No answer in time: the store decides alone.
+        rig.next().1.serve("fine");
+        assert_eq!(client.read(), "fine");
+        let mut bump = until_called(&rig, &mut client);
+        if late.words[1] != bump.words[1] {
+            return None;
+        }
+        assert_eq!(late.connection, bump.connection);
+        late.say("ok 5000\r\n");
+        bump.say("ok 180\r\n");
+        rig.next().1.serve("fine");
+        assert_eq!(client.read(), "fine");
+        Some(())
+    });
+}
+
+#[test]
+fn a_connection_on_which_the_counter_stays_silent_is_replaced() {
+    within_a_window(|| {
+        let rig = Rig::with(1, |config| {
+            roomy(config);
+            config["settings"]["family-info"]["count-wait-ms"] = json!(30.0);
+        });
+        let mut client = rig.gateway.client();
+        client.send(&words(&call(1, "safe", "paid", 60, 8000)));
+        let silent = rig.counter.next();
+        rig.next().1.serve("fine");
+        assert_eq!(client.read(), "fine");
+        sleep(STALLED);
+        // Calls that come now find the silent one before them.
+        for id in 2..6 {
+            client.send(&words(&call(id, "safe", "paid", 60, 8000)));
+            rig.next().1.serve("fine");
+            assert_eq!(client.read(), "fine");
+        }
+        while let Some(bump) = rig.counter.taken() {
+            if bump.words[1] != silent.words[1] {
+                return None;
+            }
+        }
+        silent.closed();
+        sleep(KEEP_OFF);
+        assert_ne!(until_called(&rig, &mut client).connection, silent.connection);
+        Some(())
+    });
+}
+
+#[test]
+fn what_a_busy_counter_turned_away_is_told_again() {
+    let rig = Rig::with(1, roomy);
+    let mut client = rig.gateway.client();
+    client.send(&words(&call(1, "safe", "paid", 60, 8000)));
+    rig.counter.next().say("busy\r\n");
+    rig.next().1.serve("fine");
+    assert_eq!(client.read(), "fine");
+    let amount: f64 = until_called(&rig, &mut client).words[2].parse().expect("a number");
+    assert!(amount >= 120.0, "{amount}");
+}
+
+#[test]
+fn what_a_counter_may_have_added_is_not_told_again() {
+    // A connection that breaks after the call, and an answer that can't be read.
+    for odd in ["", "ok NaN\r\n"] {
+        let rig = Rig::with(1, roomy);
+        let mut client = rig.gateway.client();
+        client.send(&words(&call(1, "safe", "paid", 60, 8000)));
+        let mut bump = rig.counter.next();
+        bump.say(odd);
+        bump.close();
+        rig.next().1.serve("fine");
+        assert_eq!(client.read(), "fine");
+        sleep(KEEP_OFF);
+        let amount: f64 = until_called(&rig, &mut client).words[2].parse().expect("a number");
+        assert!(amount < 120.0, "{amount}");
+    }
+}
+
+#[test]
+fn requests_pass_by_the_store_alone_while_the_counter_refuses_connections() {
+    let (_held, gone) = refusing();
+    let rig = Rig::with(1, |config| {
+        roomy(config);
+        config["counter"] = json!(gone.to_string());
+    });
+    let mut client = rig.gateway.client();
+    for id in 1..4 {
+        client.send(&words(&call(id, "safe", "paid", 60, 8000)));
+        rig.next().1.serve("fine");
+        assert_eq!(client.read(), "fine");
+    }
+}
--- a/tests/support/net.rs
+++ b/tests/support/net.rs
@@ -3,7 +3,7 @@
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::process::{Child, Command, ExitStatus, Stdio};
+use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
@@ -290,7 +290,8 @@
 pub struct Gateway {
     process: Child,
     pub address: SocketAddr,
-    _config: tempfile::NamedTempFile,
+    config: tempfile::NamedTempFile,
+    log: BufReader<ChildStderr>,
 }
 
 /// A configuration; what a test needs otherwise it changes.
@@ -321,7 +322,8 @@
         BufReader::new(output).read_line(&mut said).expect("a line");
         let address = said.trim_end().strip_prefix("listening on ").expect("it listens");
         let address = address.parse().expect("an address");
-        let gateway = Gateway { process, address, _config: file };
+        let log = BufReader::new(process.stderr.take().expect("its log"));
+        let gateway = Gateway { process, address, config: file, log };
         assert_eq!(gateway.client().ask(&["PING"]), "+PONG");
         gateway
     }
@@ -333,8 +335,25 @@
     }
 
     pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Replaces the configuration by a text and has it read.
+    pub fn configure(&self, text: &str) {
+        std::fs::write(self.config.path(), text).expect("room");
+        self.signal("-HUP");
+    }
+
+    fn signal(&self, name: &str) {
         let id = self.process.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &id]).status().expect("kill").success());
+        assert!(Command::new("kill").args([name, &id]).status().expect("kill").success());
+    }
+
+    /// The next line that it logs.
+    pub fn logged(&mut self) -> String {
+        let mut line = String::new();
+        self.log.read_line(&mut line).expect("its log");
+        line
     }
 
     /// Waits for its end.
@@ -408,3 +427,65 @@
 pub fn words(call: &[String]) -> Vec<&str> {
     call.iter().map(String::as_str).collect()
 }
+
+/// A gateway with its stand-ins; discovery is silent unless a test tells something.
+pub struct Rig {
+    pub gateway: Gateway,
+    pub config: Value,
+    pub agent: Agent,
+    pub counter: StandIn,
+    pub backends: Vec<StandIn>,
+}
+
+impl Rig {
+    /// Two backends of one cell.
+    pub fn new() -> Rig {
+        Rig::with(2, |_| {})
+    }
+
+    pub fn with(backends: usize, change: impl FnOnce(&mut Value)) -> Rig {
+        let (agent, counter) = (Agent::start(), StandIn::counter());
+        let backends: Vec<StandIn> = (0..backends).map(|_| StandIn::backend()).collect();
+        let known: Vec<Value> = (0..).zip(&backends).map(|(i, b)| serving(i, b)).collect();
+        let mut config = config(agent.address, counter.address, &known);
+        change(&mut config);
+        Rig { gateway: Gateway::start(&config), config, agent, counter, backends }
+    }
+
+    pub fn next(&self) -> (usize, Arrived) {
+        next_of(&self.backends.iter().collect::<Vec<_>>())
+    }
+
+    pub fn idle(&self) -> bool {
+        self.backends.iter().all(StandIn::idle)
+    }
+
+    /// Tells the whole list, so that watches follow.
+    pub fn told(&self, endpoints: &[Value]) {
+        self.agent.tell(&list(41, true, endpoints));
+    }
+
+    /// Sends a request through and serves it.
+    pub fn serve_one(&self, client: &mut Client, id: u64) -> (usize, Arrived) {
+        client.send(&words(&call(id, "safe", "free", 1, 8000)));
+        let (place, mut arrived) = self.next();
+        arrived.serve("fine");
+        assert_eq!(client.read(), "fine");
+        (place, arrived)
+    }
+}
+
+pub fn serving(i: usize, backend: &StandIn) -> Value {
+    endpoint(&format!("s-{i}"), backend.address, 1, "SERVING", 0.0)
+}
+
+pub fn wait_of(terms: &str) -> u32 {
+    let wait = terms.split(',').find_map(|t| t.strip_prefix("d=")).expect("d");
+    wait.parse().expect("a whole number")
+}
+
+/// A store that needs a call for each request of 60 units, and holds many.
+pub fn roomy(config: &mut Value) {
+    config["settings"]["tariffs"][1]["store-size"] = json!(1190.0);
+    config["settings"]["family-info"]["units-top"] = json!(60);
+}
