A start knows no usual load: do not take the first requests for a jam

At fault: control.rs pressure and ended, where the usual time out (open_mean) and number out (out_mean) begin at 0 and are learned over 10 and 50 answers, so that what is merely on its way counts as queueing. Now both are true means of the first answers, and until 20 of them what is out counts as usual for as long as it may take; with no answers a start still stops (test).

--- a/src/control.rs
+++ b/src/control.rs
@@ -665,19 +665,25 @@
         let prior = f.mean_work * PRIOR / keep;
         // What is usually out counts as well where the gateway is one of many, and sees little else.
         let few = (FEW / f64::from(self.settings.gateways)).min(1.0);
-        let time = (f.lately.seen + f.open(now) - f.open_mean * few).max(0.0);
+        // Danger: a gateway that begins knows no usual load, and takes its first requests for a jam. Until it
+        // has some answers, what is out is usual for as long as it may take.
+        let unseen = (1.0 - f.answers / UNSEEN_WEIGHT).max(0.0);
+        let or_now = |usual: f64, now: f64| usual + unseen * (now - usual).max(0.0);
+        let usual_open = or_now(f.open_mean * few, f.waiting.0 * f.mean_work);
+        let time = (f.lately.seen + f.open(now) - usual_open).max(0.0);
         let time = Ratio { seen: time, ..f.lately };
         let queueing = time.with_prior(f.calm, prior) / f.calm - 1.0;
         // What this gateway has out tells of the whole as far as the others are few.
         let others = f64::from(self.settings.gateways);
-        1.0 + queueing * (f.out + others) / (f.out_mean + others)
+        1.0 + queueing * (f.out + others) / (or_now(f.out_mean, f.out) + others)
     }
 
     /// Takes in an answer, or that none came in time: what is overdue would tell of a queue long past.
     fn lately(&mut self, now: f64, seen: f64, work: f64) {
         let fade = (-(now - self.fleet.at) / (2.0 * self.longest(|c| c.aim_ms))).exp().min(KEEP.1);
         self.fleet.lately.add(seen, work, fade);
-        self.fleet.open_mean += (1.0 - fade) * (self.fleet.open(now) - self.fleet.open_mean);
+        let weight = (1.0 - fade).max(1.0 / (self.fleet.answers + 1.0));
+        self.fleet.open_mean += weight * (self.fleet.open(now) - self.fleet.open_mean);
         self.fleet.at = now;
     }
 
@@ -840,7 +846,9 @@
                 if !overdue {
                     self.lately(now, seen, work);
                 }
-                self.fleet.out_mean += (1.0 - KEEP.1) * (out_then.1 - self.fleet.out_mean);
+                self.fleet.answers += 1.0;
+                let weight = (1.0 - KEEP.1).max(1.0 / self.fleet.answers);
+                self.fleet.out_mean += weight * (out_then.1 - self.fleet.out_mean);
                 // Danger: a yardstick that shrinks by its own use. Learned against the present slowness,
                 // classes keep their scale on the whole, whatever the load.
                 let scale = self.fleet.slowness();
--- a/src/state.rs
+++ b/src/state.rs
@@ -78,6 +78,8 @@
     /// The same over a few answers only.
     pub(crate) lately: Ratio,
     pub(crate) at: f64,
+    /// How many were served.
+    pub(crate) answers: f64,
     /// Attempts out that are not overdue, and the sum of their starts.
     pub(crate) waiting: (f64, f64),
     /// Their usual time, when answers came.
--- a/tests/health.rs
+++ b/tests/health.rs
@@ -177,6 +177,26 @@
     }
 }
 
+/// Danger: a gateway that has just started takes its first requests, still on their way, for a jam.
+#[test]
+fn the_first_requests_of_a_start_are_no_jam() {
+    for gateways in [1, 4] {
+        let mut rig = Rig::new(Settings { gateways, ..settings() }, 8);
+        // One each 5 ms, each answered after 100 ms: twenty are out at any time.
+        let mut out = std::collections::VecDeque::new();
+        for id in 0..200 {
+            rig.now += 5.0;
+            let r = fresh(&rig, id);
+            let backend = sent_to(&rig.ask(r)).expect("room");
+            out.push_back((id, backend));
+            if out.len() > 20 {
+                let (id, backend) = out.pop_front().expect("some");
+                answer(&mut rig, id, backend, 100.0);
+            }
+        }
+    }
+}
+
 #[test]
 fn one_customer_after_another_leaves_no_memory_behind_that_hinders() {
     let mut rig = Rig::new(Settings { gateways: 1, ..settings() }, 4);
