Bound the bytes of requests and answers; take a total that others lessened as such

Memory: 32 commands of 64 KiB on each connection would fill far more than the 32 MB of a gateway, and each request kept the whole buffer it came in (resp.rs, slices). Requests are copied exactly, and they and the answers that wait take their bytes from a quarter of memory_mb: a command that finds none for 250 ms is refused, an answer that finds none has failed. Buffers over 16 KiB are not kept.

A probe of counted: 25 times in 24 s a total a little below the last one (65 after 68) was taken for a counter back empty and charged whole once more; each was others taking refused charges back. Now only a total under half of the last one is a restart, and what others took back is given back.

--- a/src/bin/slatelock-gateway/backends.rs
+++ b/src/bin/slatelock-gateway/backends.rs
@@ -107,17 +107,20 @@
     generations: u64,
     places: Arc<Semaphore>,
     idle_most: Duration,
+    /// A connection that is not up by then has failed.
+    pub connect_limit: Duration,
 }
 
 impl Backends {
     /// Keeps at most so many connections in all.
-    pub fn new(connections: usize, idle_close_ms: f64) -> Self {
+    pub fn new(connections: usize, idle_close_ms: f64, connect_limit: Duration) -> Self {
         let idle_most = Duration::from_secs_f64((idle_close_ms * IDLE_PART / 1000.0).clamp(0.0, 3600.0));
         Backends {
             pools: HashMap::new(),
             generations: 0,
             places: Arc::new(Semaphore::new(connections)),
             idle_most,
+            connect_limit,
         }
     }
 
--- a/src/bin/slatelock-gateway/clients.rs
+++ b/src/bin/slatelock-gateway/clients.rs
@@ -37,6 +37,10 @@
 const QUIET_LEAST: (Duration, Duration) = (Duration::from_millis(2_050), Duration::from_millis(100));
 /// Part of the places that is kept free by closing quiet connections.
 const FREE_PART: usize = 16;
+/// How long a request may wait for room in the memory.
+const ROOM_MOST: Duration = Duration::from_millis(250);
+/// Buffers larger than this are not kept.
+const BUFFER_MOST: usize = 16 * 1024;
 /// How long a new connection may wait for a place, and how often one is looked for.
 const PLACE_MOST: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(20));
 
@@ -46,6 +50,8 @@
     pub settings: Settings,
     pub names: Names,
     pub inbox: mpsc::Sender<Input>,
+    /// Bytes of requests and answers that there may be yet.
+    pub room: Arc<Semaphore>,
     /// The last number of a request; they are never used again.
     pub last: AtomicU64,
     /// Says that connections are to close as soon as they owe no answer.
@@ -182,11 +188,11 @@
             self.ready(&mut output);
             if !output.is_empty() {
                 match timeout(WRITE_MOST, self.stream.write_all(&output)).await {
-                    Ok(Ok(())) => output.clear(),
+                    Ok(Ok(())) => empty(&mut output),
                     _ => return,
                 }
-                // There may be room for commands that came already.
-                if !input.is_empty() {
+                // There may be more answers, and room for commands that came already.
+                if !input.is_empty() || !self.owed.is_empty() {
                     continue;
                 }
             }
@@ -202,6 +208,9 @@
                 let _ = timeout(LINGER.0, self.linger()).await;
                 return;
             }
+            if input.is_empty() {
+                empty(&mut input);
+            }
             input.reserve(if reading { resp::READING } else { 0 });
             tokio::select! {
                 answer = next(&mut self.owed) => {
@@ -277,7 +286,14 @@
             let owed = match Command::read(frame, &self.clients.settings, &self.clients.names) {
                 Ok(Command::Ping) => Owed::Now(Answer::Pong),
                 Err(unknown) => Owed::Now(Answer::Unknown(unknown.0)),
-                Ok(Command::Call(call)) => {
+                Ok(Command::Call(mut call)) => {
+                    // Danger: requests that fill the memory. Reading stops first, then they are refused.
+                    let room = Arc::clone(&self.clients.room).acquire_many_owned(call.size() as u32);
+                    let Ok(Ok(room)) = timeout(ROOM_MOST, room).await else {
+                        self.owed.push_back(Owed::Now(Answer::Refused(None)));
+                        continue;
+                    };
+                    call.room = Some(room);
                     let id = self.clients.last.fetch_add(1, Ordering::Relaxed) + 1;
                     let (answer, later) = oneshot::channel();
                     let _ =
@@ -291,7 +307,8 @@
 
     /// Appends the answers that are there and have none before them.
     fn ready(&mut self, output: &mut BytesMut) {
-        while let Some(owed) = self.owed.pop_front() {
+        while output.len() < BUFFER_MOST {
+            let Some(owed) = self.owed.pop_front() else { return };
             match owed {
                 Owed::Now(answer) => answer.put(output),
                 Owed::Later(id, mut later) => match later.try_recv() {
@@ -335,6 +352,14 @@
     }
 }
 
+/// Empties a buffer, and gives back what it grew by.
+fn empty(buffer: &mut BytesMut) {
+    if buffer.capacity() > BUFFER_MOST {
+        *buffer = BytesMut::new();
+    }
+    buffer.clear();
+}
+
 /// The first answer that is owed, when it is there.
 async fn next(owed: &mut VecDeque<Owed>) -> Answer {
     match owed.front_mut() {
--- a/src/bin/slatelock-gateway/driver.rs
+++ b/src/bin/slatelock-gateway/driver.rs
@@ -6,10 +6,10 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
-use slatelock::interface::{Action, BackendEntry, Event, Limits, ListScope, Outcome, Readiness, Request};
+use slatelock::interface::{Action, BackendEntry, Event, ListScope, Outcome, Readiness, Request};
 use slatelock::settings::Names;
 use slatelock::Gateway;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, Semaphore};
 use tokio::task::AbortHandle;
 use tokio::time::{interval, Instant};
 use tokio_util::time::{delay_queue, DelayQueue};
@@ -147,7 +147,6 @@
     gateway: Gateway,
     clock: Clock,
     names: Names,
-    connect_limit: Duration,
     backends: Backends,
     /// The numbers of the backends on the list, and the last that was given.
     numbers: HashMap<String, u32>,
@@ -162,6 +161,8 @@
     timers: DelayQueue<Due>,
     load_fields: Arc<[String]>,
     inbox: mpsc::Sender<Input>,
+    /// Bytes of requests and answers that there may be yet.
+    room: Arc<Semaphore>,
     /// What follows from actions at once.
     next: VecDeque<Input>,
     actions: Vec<Action>,
@@ -171,16 +172,15 @@
     pub fn new(
         gateway: Gateway,
         clock: Clock,
-        limits: &Limits,
         names: Names,
         backends: Backends,
         counter: Option<Counter>,
         inbox: mpsc::Sender<Input>,
+        room: Arc<Semaphore>,
     ) -> Self {
         Driver {
             gateway,
             clock,
-            connect_limit: Duration::from_secs_f64(limits.connect_timeout_ms / 1000.0),
             load_fields: names.load_fields.clone().into(),
             names,
             backends,
@@ -194,6 +194,7 @@
             last_call: 0,
             timers: DelayQueue::new(),
             inbox,
+            room,
             next: VecDeque::new(),
             actions: Vec::new(),
         }
@@ -391,7 +392,7 @@
         match self.backends.way(backend, Instant::now()) {
             Way::Open(connection) => self.write(key, connection),
             Way::New(dial) => {
-                let (inbox, limit) = (self.inbox.clone(), self.connect_limit);
+                let (inbox, limit) = (self.inbox.clone(), self.backends.connect_limit);
                 tokio::spawn(async move {
                     let connection = dial.open(limit).await;
                     let _ = inbox.send(Input::Connected { key, backend, connection }).await;
@@ -457,7 +458,11 @@
         self.held.get_mut(&id).into_iter().for_each(|h| h.out -= 1);
         let (outcome, Facts { metered, charged, load }) = match reply {
             Reply::Served(value, facts) => {
-                self.answer(id, Answer::Served(value));
+                // Danger: answers that nobody reads fill the memory. What has no room there has failed.
+                let room = Arc::clone(&self.room).try_acquire_many_owned(value.len() as u32);
+                // The value alone, not the buffer that it came in.
+                let value = || Bytes::copy_from_slice(&value);
+                self.answer(id, room.map_or(Answer::Failed, |room| Answer::Served(value(), room)));
                 (Outcome::Ok, facts)
             }
             Reply::Failed(outcome, facts) => (outcome, facts),
@@ -478,7 +483,7 @@
 
     fn probe(&mut self, backend: u32) {
         let way = self.backends.way(backend, Instant::now());
-        let (inbox, limit) = (self.inbox.clone(), self.connect_limit);
+        let (inbox, limit) = (self.inbox.clone(), self.backends.connect_limit);
         let fields = Arc::clone(&self.load_fields);
         let probe = if fields.is_empty() { PROBES.0 } else { PROBES.1 };
         tokio::spawn(async move {
--- a/src/bin/slatelock-gateway/main.rs
+++ b/src/bin/slatelock-gateway/main.rs
@@ -21,7 +21,7 @@
 use slatelock::Gateway;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, Semaphore};
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::{AbortOnDropHandle, TaskTracker};
@@ -35,6 +35,9 @@
 /// Descriptors for all but clients and backends: the runtime, the log, and the counter and discovery twice,
 /// as the old connections may still stand when a new configuration names others.
 const SPARE_SOCKETS: usize = 32;
+/// The part of the memory that requests and answers may take: buffers that are being read and written take
+/// about another two.
+const ROOM_PART: usize = 4;
 /// Inputs that may wait for the driver; who brings more waits.
 const INBOX: usize = 1024;
 /// How long the start waits for the list of backends before it goes by the known one.
@@ -65,6 +68,7 @@
     peers: Peers,
     seed: u64,
     sockets: usize,
+    memory_mb: usize,
     known: List,
     settings: Settings,
     names: Names,
@@ -96,6 +100,7 @@
             },
             seed: seed.map_err(|_| top.wrong("seed", "a hex number is wanted"))?,
             sockets: top.section("limits")?.whole("sockets")? as usize,
+            memory_mb: top.section("limits")?.whole("memory_mb")? as usize,
             known: known.map_err(|_| top.wrong("known", "a list of backends is wanted"))?,
             names: settings::names(&told)?,
             settings,
@@ -158,7 +163,7 @@
 }
 
 async fn serve(config: Config, path: PathBuf) -> Result<(), String> {
-    let Config { listen, peers, seed, sockets, known, settings, names } = config;
+    let Config { listen, peers, seed, sockets, memory_mb, known, settings, names } = config;
     let failed = |what: &'static str| move |e: std::io::Error| format!("{what}: {e}");
     let mut terminate = signal(SignalKind::terminate()).map_err(failed("SIGTERM"))?;
     let hangup = signal(SignalKind::hangup()).map_err(failed("SIGHUP"))?;
@@ -170,9 +175,11 @@
     let wait = Duration::from_secs_f64(settings.counter_timeout_ms / 1000.0);
     let counter = peers.counter.map(|address| Counter::start(address, wait, &inbox));
     let places = sockets.saturating_sub(SPARE_SOCKETS) / 2;
-    let backends = Backends::new(places, names.idle_close_ms);
-    let limits = &settings.limits;
-    let mut driver = Driver::new(gateway, clock, limits, names.clone(), backends, counter, inbox.clone());
+    let connect_limit = Duration::from_secs_f64(settings.limits.connect_timeout_ms / 1000.0);
+    let backends = Backends::new(places, names.idle_close_ms, connect_limit);
+    let room = Arc::new(Semaphore::new((memory_mb << 20) / ROOM_PART));
+    let (asks, bytes) = (inbox.clone(), Arc::clone(&room));
+    let mut driver = Driver::new(gateway, clock, names.clone(), backends, counter, asks, bytes);
     driver.take(Input::List(ListScope::Cached, known.endpoints));
     tokio::spawn(follow(path, hangup, peers, wait, inbox.clone()));
     // Ready, with the list as it is now; if discovery is silent, with the known one.
@@ -189,6 +196,7 @@
         settings,
         names,
         inbox: inbox.clone(),
+        room,
         last: AtomicU64::new(0),
         closing: closing.clone(),
         tasks: tasks.clone(),
--- a/src/bin/slatelock-gateway/resp.rs
+++ b/src/bin/slatelock-gateway/resp.rs
@@ -8,6 +8,7 @@
 use redis_protocol::resp2::types::BytesFrame;
 use slatelock::interface::{Effect, Settings};
 use slatelock::settings::Names;
+use tokio::sync::OwnedSemaphorePermit;
 
 /// The longest value or body.
 const VALUE_MOST: usize = 64 * 1024;
@@ -17,6 +18,8 @@
 const ELEMENTS_MOST: usize = 16;
 /// The most bytes of one message; more than this and one reading is never buffered.
 const MESSAGE_MOST: usize = VALUE_MOST + 2 * LINE_MOST;
+/// What a request takes beside its words: its records here and in the decisions.
+const CALL_BYTES: usize = 1024;
 /// The longest time that a client can sensibly say it waits: a day.
 const WAIT_MOST_MS: u32 = 86_400_000;
 /// Room for one reading: most messages come in one.
@@ -113,6 +116,8 @@
     pub wait_ms: f64,
     pub retry: bool,
     forward: Forward,
+    /// Its part of the memory that requests and answers may take.
+    pub room: Option<OwnedSemaphorePermit>,
 }
 
 /// What goes on to backends: all as it came but for the waiting time, which stands between two parts
@@ -125,6 +130,13 @@
 }
 
 impl Call {
+    /// About the bytes that it takes.
+    pub fn size(&self) -> usize {
+        let (words, terms) = (&self.forward.words, &self.forward.terms);
+        let parts = words.iter().chain([&terms.0, &terms.1]).chain(&self.forward.body);
+        CALL_BYTES + parts.map(Bytes::len).sum::<usize>()
+    }
+
     /// The command for a backend that is given so long to answer.
     pub fn encode(&self, wait_ms: u64) -> Bytes {
         let (before, after) = &self.forward.terms;
@@ -199,8 +211,11 @@
         // Nobody waits longer than the class allows.
         let wait_ms = f64::from(wait).min(settings.deadline_ms);
         let at = digits.as_ptr() as usize - text.as_ptr() as usize;
-        let terms = (terms.slice(..at), terms.slice(at + digits.len()..));
-        let forward = Forward { words: [verb, customer, id], terms, body };
+        // Danger: a few bytes that keep the whole buffer they came in.
+        let own = |bytes: &[u8]| Bytes::copy_from_slice(bytes);
+        let terms = (own(&terms[..at]), own(&terms[at + digits.len()..]));
+        let words = [own(&verb), own(&customer), own(&id)];
+        let forward = Forward { words, terms, body: body.as_deref().map(own) };
         Ok(Command::Call(Box::new(Call {
             customer: number,
             id: name,
@@ -211,6 +226,7 @@
             wait_ms,
             retry,
             forward,
+            room: None,
         })))
     }
 }
@@ -234,10 +250,10 @@
 }
 
 /// A final answer to a client.
-#[derive(Debug, PartialEq)]
+#[derive(Debug)]
 pub enum Answer {
-    /// The value as a backend gave it.
-    Served(Bytes),
+    /// The value as a backend gave it, and its part of the memory until it is written.
+    Served(Bytes, OwnedSemaphorePermit),
     /// Trying again is harmless; when to come again, ms.
     Refused(Option<u64>),
     /// Nothing is promised.
@@ -253,7 +269,7 @@
     pub fn put(self, buffer: &mut BytesMut) {
         let error = |text: String| BytesFrame::Error(text.into());
         let frame = match self {
-            Answer::Served(value) => BytesFrame::BulkString(value),
+            Answer::Served(value, _room) => BytesFrame::BulkString(value),
             Answer::Refused(None) => error("BUSY".to_string()),
             Answer::Refused(Some(ms)) => error(format!("BUSY {ms}")),
             Answer::Failed => error("ERR failed".to_string()),
--- a/src/control.rs
+++ b/src/control.rs
@@ -16,6 +16,8 @@
 const CALL_CHANCE: (f64, f64) = (0.5, 1.1);
 /// Chance down to which a call stands for those left out (below, they are told later), and its least.
 const CALL_LEAST: (f64, f64) = (0.25, 0.05);
+/// A total below this part of the last one is that of a counter that began anew.
+const RESTARTED: f64 = 0.5;
 /// Longest window, ms; its name is kept for two, and 60 s is the longest a counter keeps one.
 const WINDOW_LONGEST_MS: f64 = 30_000.0;
 /// Part of a class's aim that waiting for the counter may take.
@@ -414,8 +416,9 @@
                 let told = if told { &mut c.unsure } else { &mut c.unreported };
                 *told += call.amount;
             } else if call.window == c.window {
-                // Danger: a counter back empty. A total below what is known starts afresh.
-                if total < c.total.min(c.total + call.amount) - 0.01 {
+                // Danger: a counter back empty. A total far below what is known starts afresh; one that falls
+                // by less was lessened as others took refused charges back.
+                if total < c.total.min(c.total + call.amount) * RESTARTED - 0.01 {
                     (c.total, c.unsure) = (0.0, 0.0);
                 }
                 let others = total - c.total - call.amount - c.unsure;
@@ -424,8 +427,9 @@
                 (c.total, c.unsure, c.heard) = (total, 0.0, now);
                 // Refill that was lost at the brim covered first what others spent.
                 let known = others.clamp(0.0, c.assumed);
-                c.level -= (others - known - c.spilled).max(0.0);
-                (c.assumed, c.others) = (c.assumed - known, c.others + others.max(0.0) - known);
+                c.level -= if others < 0.0 { others } else { (others - known - c.spilled).max(0.0) };
+                c.level = c.level.min(c.plan.burst);
+                (c.assumed, c.others) = (c.assumed - known, (c.others + others - known).max(0.0));
                 c.spilled = 0.0;
             }
             covered = c.level >= 0.0;
--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -145,3 +145,43 @@
     // It is free again.
     rig.serve_one(&mut other, 1);
 }
+
+#[test]
+fn requests_that_the_memory_has_no_room_for_are_refused_until_it_has() {
+    // Room for 256 KiB.
+    let rig = Rig::with(1, |config| config["limits"]["memory_mb"] = json!(1));
+    let large = |id| {
+        let mut large = call(id, "unsafe", "free", 1, 8000);
+        large[4] = "x".repeat(60_000);
+        large
+    };
+    let (mut client, mut other) = (rig.gateway.client(), rig.gateway.client());
+    (1..5).for_each(|id| client.send(&words(&large(id))));
+    let mut arrived: Vec<Arrived> = (1..5).map(|_| rig.next().1).collect();
+    assert_eq!(other.ask(&words(&large(5))), "-BUSY");
+    arrived.iter_mut().for_each(|a| a.serve("fine"));
+    (1..5).for_each(|_| assert_eq!(client.read(), "fine"));
+    other.send(&words(&large(6)));
+    rig.next().1.serve("fine");
+    assert_eq!(other.read(), "fine");
+    assert!(rig.idle(), "what was refused went on");
+}
+
+#[test]
+fn an_answer_that_the_memory_has_no_room_for_has_failed() {
+    // Room for 256 KiB, of which answers that wait behind an open request take most.
+    let rig = Rig::with(1, |config| config["limits"]["memory_mb"] = json!(1));
+    let mut client = rig.gateway.client();
+    (1..31).for_each(|id| client.send(&words(&call(id, "unsafe", "free", 1, 8000))));
+    let mut arrived: Vec<Arrived> = (1..31).map(|_| rig.next().1).collect();
+    arrived.sort_by_key(|a| a.words[2].clone());
+    let value = "x".repeat(60_000);
+    arrived.iter_mut().skip(1).for_each(|a| a.serve(&value));
+    let mut last = rig.gateway.client();
+    rig.serve_one(&mut last, 31);
+    arrived[0].serve("fine");
+    assert_eq!(client.read(), "fine");
+    let answers: Vec<String> = (2..31).map(|_| client.read()).collect();
+    assert!(answers.iter().all(|a| *a == value || a.starts_with("-ERR")));
+    assert!(answers.contains(&value) && answers.iter().any(|a| a.starts_with("-ERR")));
+}
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -100,6 +100,22 @@
     assert_eq!(counted(&actions), None);
 }
 
+/// Danger: a total that others lessened, taken for one of a counter back empty and charged whole once more.
+#[test]
+fn charges_that_others_took_back_are_given_back() {
+    let mut rig = Rig::new(with_counter(), 4);
+    let mut ask = |id, total: f64| {
+        let (name, _) = counted(&rig.ask(request(id, 0, 0, 1.0)))?;
+        let actions = rig.on(Event::Counted { name, outcome: Outcome::Ok, total });
+        Some(sent_to(&actions).is_some())
+    };
+    assert_eq!(ask(1, 12.0), Some(true));
+    // Of the eleven units of others, three are taken back; then each of this gateway's adds one.
+    for id in 2..6 {
+        assert_eq!(ask(id, 8.0 + id as f64), Some(true), "{id}");
+    }
+}
+
 /// Danger: an amount told twice, and calls left out as if the counter were busy.
 #[test]
 fn a_total_that_cannot_be_read_was_added_and_lessens_no_calls() {
