--- a/src/control.rs
+++ b/src/control.rs
@@ -427,8 +427,7 @@
                 (c.total, c.unsure, c.heard) = (total, 0.0, now);
                 // Refill that was lost at the brim covered first what others spent.
                 let known = others.clamp(0.0, c.assumed);
-                c.level -= if others < 0.0 { others } else { (others - known - c.spilled).max(0.0) };
-                c.level = c.level.min(c.plan.burst);
+                c.level -= (others - known - c.spilled).max(0.0);
                 (c.assumed, c.others) = (c.assumed - known, (c.others + others - known).max(0.0));
                 c.spilled = 0.0;
             }
