Forget the key of a timer that rang: it silenced timers of other requests

A probe of the pressure showed four attempts counted as open for 2.5 s on average, though each is overdue, and no longer counted, after its patience of at most 1 s: their timers never rang. At fault: Held.timers in driver.rs kept the keys of timers that had rang, let_go took them out again, and the delay queue gives a free key to the next timer. Nearly each counted request has such a key, so timers of others (overdue, waiting for a total, deadline) went at random.

The test fails on the code before: no second copy comes.

--- a/src/bin/slatelock-gateway/driver.rs
+++ b/src/bin/slatelock-gateway/driver.rs
@@ -12,7 +12,8 @@
 use tokio::sync::{mpsc, oneshot, Semaphore};
 use tokio::task::AbortHandle;
 use tokio::time::{interval, Instant};
-use tokio_util::time::{delay_queue, DelayQueue};
+use tokio_util::time::delay_queue::{self, Expired};
+use tokio_util::time::DelayQueue;
 
 use crate::backends::{self, Backends, Connection, Facts, Reply, Way};
 use crate::counter::{self, Counter};
@@ -107,7 +108,7 @@
     out: u32,
     /// Where the final answer goes. Giving it takes this, so there is exactly one.
     answer: Option<oneshot::Sender<Answer>>,
-    /// Timers of the decisions for it.
+    /// Timers of the decisions for it that did not ring yet.
     timers: Vec<delay_queue::Key>,
 }
 
@@ -214,6 +215,7 @@
                     batch.drain(..).for_each(|input| self.take(input));
                 }
                 Some(timer) = poll_fn(|cx| self.timers.poll_expired(cx)) => {
+                    self.rang(&timer);
                     self.take(Input::Due(timer.into_inner()));
                 }
                 now = look_over.tick() => self.backends.close_idle(now),
@@ -221,6 +223,14 @@
         }
     }
 
+    /// Danger: the key of a timer that rang is given to another one. Kept and used again, it would silence
+    /// that: a call that is never out of time, an attempt that is never overdue.
+    fn rang(&mut self, timer: &Expired<Due>) {
+        let Due::Timer(token) = timer.get_ref() else { return };
+        let held = Gateway::timer_request(*token).and_then(|id| self.held.get_mut(&id));
+        held.into_iter().for_each(|h| h.timers.retain(|key| *key != timer.key()));
+    }
+
     /// Takes in what happened, and all that follows from it at once.
     pub fn take(&mut self, input: Input) {
         self.event(input);
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -3,6 +3,9 @@
 #[path = "support/net.rs"]
 mod net;
 
+use std::thread::sleep;
+use std::time::Duration;
+
 use net::*;
 use serde_json::json;
 
@@ -151,3 +154,38 @@
         assert!(said.contains(field), "{field}: {said}");
     }
 }
+
+/// Danger: the key of a timer that rang, which another timer has by now, taken out with its request.
+#[test]
+fn a_request_that_ends_silences_no_timer_of_another() {
+    let rig = Rig::with(2, |config| {
+        roomy(config);
+        config["settings"]["policy-limits"]["second-copies"] = json!(true);
+        config["settings"]["profiles"][0]["aim-ms"] = json!(8000.0);
+    });
+    let ask = |id, plan| {
+        let mut client = rig.gateway.client();
+        client.send(&words(&call(id, "safe", plan, 60, 30_000)));
+        client
+    };
+    // The timers on their calls ring while their attempts are out.
+    let counted: Vec<(Client, Arrived)> = (1..4)
+        .map(|id| {
+            let client = ask(id, "paid");
+            rig.counter.next().say(&format!("ok {}\r\n", id * 60));
+            (client, rig.next().1)
+        })
+        .collect();
+    sleep(Duration::from_millis(1_000));
+    let slow = ask(10, "free");
+    let (first, _) = rig.next();
+    for (mut client, mut arrived) in counted {
+        arrived.serve("fine");
+        assert_eq!(client.read(), "fine");
+    }
+    // It is overdue after a while, and a second copy goes to the other backend.
+    let name = format!("{:016x}", 10);
+    let copy = std::iter::repeat_with(|| rig.next()).find(|(_, a)| a.words[2] == name).expect("comes");
+    assert_ne!(copy.0, first);
+    drop(slow);
+}
