--- a/crates/benchlink/src/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -262,6 +262,7 @@
         zone: u32::from(f.u8("Directory")?),
         started_ms: f.f64("Directory")?,
         weight: f.f32("Directory")?,
+        share: 1.0,
     })
 }
 
--- /dev/null
+++ b/crates/fleet/src/guard.rs
@@ -0,0 +1,101 @@
+//! The guard: refuses an order that would take too much of a fleet out of service.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use crate::desired::Desired;
+use crate::order::{Change, Order, Subject};
+
+/// A backend as some gateway lists it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Backend {
+    /// Its name.
+    pub name: String,
+    /// Its group.
+    pub group: u32,
+    /// Its type.
+    #[serde(rename = "type")]
+    pub kind: String,
+    /// Whether discovery says that it serves.
+    pub serving: bool,
+}
+
+/// What the guard counted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counts {
+    /// Those that the order's subject covers.
+    pub covered: u32,
+    /// Those that discovery says serve, or the gateways that answer.
+    pub serving: u32,
+    /// Those of them that no order drains now.
+    pub ready: u32,
+    /// Those that none would drain after the order.
+    pub left: u32,
+}
+
+/// An order that would leave too few.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TooFew {
+    /// What was counted.
+    pub counts: Counts,
+    /// How many have to be left.
+    pub least: u32,
+    /// `backends` or `gateways`.
+    pub of: &'static str,
+}
+
+impl fmt::Display for TooFew {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Counts { serving, ready, left, .. } = self.counts;
+        let (least, of) = (self.least, self.of);
+        write!(f, "would leave {left} of {serving} {of} ready ({ready} are now); {least} are to be left")
+    }
+}
+
+impl std::error::Error for TooFew {}
+
+/// Counts what an order would leave. `gateways` are the names of those that answer; `least` is the part, from
+/// 0 to 1, of the serving ones that has to be left, rounded up.
+///
+/// Only a drain is ever refused, and one that changes nothing never is. Danger: a slip of the pen that drains
+/// a whole type in the evening. Harm: in an emergency the order has to be forced.
+///
+/// # Errors
+/// [`TooFew`], with the counts.
+pub fn guard<'a>(
+    desired: &Desired,
+    order: &Order,
+    backends: impl Iterator<Item = &'a Backend>,
+    gateways: impl Iterator<Item = &'a str>,
+    least: f64,
+) -> Result<Counts, TooFew> {
+    let mut after = desired.clone();
+    after.apply(order);
+    let mut counts = Counts::default();
+    let of = if let Subject::Gateway(named) = &order.subject {
+        for name in gateways {
+            counts.covered += u32::from(name == named.as_str());
+            counts.serving += 1;
+            counts.ready += u32::from(desired.gateway_drained(name).is_none());
+            counts.left += u32::from(after.gateway_drained(name).is_none());
+        }
+        "gateways"
+    } else {
+        for b in backends {
+            counts.covered += u32::from(order.subject.covers(&b.name, b.group, &b.kind));
+            if b.serving {
+                let ready = |state: &Desired| state.effect(&b.name, b.group, &b.kind).drained_by.is_none();
+                counts.serving += 1;
+                counts.ready += u32::from(ready(desired));
+                counts.left += u32::from(ready(&after));
+            }
+        }
+        "backends"
+    };
+    let least = (f64::from(counts.serving) * least.clamp(0.0, 1.0)).ceil() as u32;
+    if order.change == Change::Drain && counts.left < counts.ready && counts.left < least {
+        return Err(TooFew { counts, least, of });
+    }
+    Ok(counts)
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,25 @@
+//! Orders to a fleet of gateways: what they are, how they merge, which of them the guard refuses, and what
+//! is known of each gateway. Nothing here does input or output, reads a clock or starts a task.
+//!
+//! ```text
+//!   order ──▶ guard ──▶ Desired (agent) ──▶ Snapshot / Order ──▶ Desired (each gateway) ──▶ Effect
+//!              ▲                                                        │
+//!              └──── Backend, as gateways list them ◀───────────────────┘        Member: ok, unreachable
+//! ```
+//!
+//! [`Desired`] is a state-based replicated data type: a register for each subject and aspect, in which the
+//! newest revision wins, with a floor below which all is settled. Orders and snapshots may come in any order
+//! and any number of times; whoever has seen the same ones holds the same state.
+
+mod desired;
+mod guard;
+mod member;
+mod name;
+mod order;
+pub mod wire;
+
+pub use desired::{Aspect, Desired, Effect, Register, Snapshot, Value, REGISTERS_MOST};
+pub use guard::{guard, Backend, Counts, TooFew};
+pub use member::{Health, Member, Sighting};
+pub use name::{BadName, Name, OrderId, NAME_MOST, ORDER_ID_MOST};
+pub use order::{BadOrder, Change, Order, Outcome, Revision, Subject, WEIGHT_LEAST, WEIGHT_MOST};
--- /dev/null
+++ b/crates/fleet/src/name.rs
@@ -0,0 +1,92 @@
+//! Names that come from outside, bounded before anything is done with them.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+
+/// The longest name of a backend, type or gateway, bytes: that of a domain name (RFC 1035, section 2.3.4).
+pub const NAME_MOST: usize = 253;
+/// The longest id of an order, bytes.
+pub const ORDER_ID_MOST: usize = 64;
+
+/// A name that can't be one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BadName {
+    what: &'static str,
+    problem: String,
+}
+
+impl fmt::Display for BadName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {}", self.what, self.problem)
+    }
+}
+
+impl std::error::Error for BadName {}
+
+fn check(what: &'static str, text: &str, most: usize, fits: fn(char) -> bool) -> Result<(), BadName> {
+    // Danger: a name of megabytes, or one that writes to a terminal, quoted in a message or a log.
+    let problem = match text.chars().find(|c| !fits(*c)) {
+        _ if text.is_empty() => "is empty".to_string(),
+        _ if text.len() > most => format!("has {} bytes; {most} at most", text.len()),
+        Some(odd) => format!("holds {odd:?}, which no name holds"),
+        None => return Ok(()),
+    };
+    Err(BadName { what, problem })
+}
+
+macro_rules! text {
+    ($(#[$doc:meta])* $name:ident, $what:literal, $most:ident, $fits:expr) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(Box<str>);
+
+        impl $name {
+            /// The text.
+            #[must_use]
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = BadName;
+
+            fn from_str(text: &str) -> Result<Self, BadName> {
+                check($what, text, $most, $fits).map(|()| $name(text.into()))
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = BadName;
+
+            fn try_from(text: String) -> Result<Self, BadName> {
+                text.parse()
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(name: $name) -> String {
+                name.0.into()
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.pad(&self.0)
+            }
+        }
+    };
+}
+
+text!(
+    /// Name of a backend, a type of backends or a gateway: 1 to [`NAME_MOST`] bytes, no white space and no
+    /// control characters.
+    Name, "name", NAME_MOST, |c| !c.is_whitespace() && !c.is_control()
+);
+text!(
+    /// Id of an order, given by whoever made it: 1 to [`ORDER_ID_MOST`] letters, digits, `.`, `_`, `-`, `:`.
+    OrderId, "order id", ORDER_ID_MOST, |c| c.is_ascii_alphanumeric() || "._-:".contains(c)
+);
--- /dev/null
+++ b/crates/fleet/src/order.rs
@@ -0,0 +1,205 @@
+//! An order, its subject and its revision.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::name::{BadName, Name, OrderId};
+
+/// The least weight. Less is a drain, and is to be ordered as one.
+pub const WEIGHT_LEAST: f64 = 0.01;
+/// The most weight.
+pub const WEIGHT_MOST: f64 = 100.0;
+
+/// Place of an order among all orders: by term, then by sequence. A term has one writer, so no two orders
+/// share a revision; a replicated log gives both as Raft does (Ongaro and Ousterhout 2014, section 5).
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Revision {
+    /// Grows with each new writer.
+    pub term: u64,
+    /// Grows with each order; 0 stands before all.
+    pub seq: u64,
+}
+
+impl Revision {
+    /// The revision of the next order of the same writer.
+    #[must_use]
+    pub fn next(self) -> Revision {
+        Revision { term: self.term, seq: self.seq + 1 }
+    }
+}
+
+impl fmt::Display for Revision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(&format!("{}.{}", self.term, self.seq))
+    }
+}
+
+/// Whom an order is about.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Subject {
+    /// A backend, by its name on the list.
+    Backend(Name),
+    /// All backends of a group.
+    Group(u32),
+    /// All backends of a type.
+    Type(Name),
+    /// A gateway.
+    Gateway(Name),
+}
+
+impl Subject {
+    /// Whether a backend falls under it.
+    #[must_use]
+    pub fn covers(&self, name: &str, group: u32, kind: &str) -> bool {
+        match self {
+            Subject::Backend(n) => n.as_str() == name,
+            Subject::Group(g) => *g == group,
+            Subject::Type(t) => t.as_str() == kind,
+            Subject::Gateway(_) => false,
+        }
+    }
+}
+
+impl fmt::Display for Subject {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(&match self {
+            Subject::Backend(name) => format!("backend/{name}"),
+            Subject::Group(group) => format!("group/{group}"),
+            Subject::Type(kind) => format!("type/{kind}"),
+            Subject::Gateway(name) => format!("gateway/{name}"),
+        })
+    }
+}
+
+impl FromStr for Subject {
+    type Err = BadOrder;
+
+    /// Reads `backend/NAME`, `group/NUMBER`, `type/NAME` or `gateway/NAME`; a bare name is a backend's.
+    fn from_str(text: &str) -> Result<Self, BadOrder> {
+        Ok(match text.split_once('/') {
+            None => Subject::Backend(text.parse()?),
+            Some(("backend", name)) => Subject::Backend(name.parse()?),
+            Some(("group", number)) => Subject::Group(number.parse().map_err(|_| BadOrder::Group)?),
+            Some(("type", name)) => Subject::Type(name.parse()?),
+            Some(("gateway", name)) => Subject::Gateway(name.parse()?),
+            Some(_) => return Err(BadOrder::Subject),
+        })
+    }
+}
+
+/// What an order changes.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Change {
+    /// Nothing new goes there; what is in flight ends as it would have.
+    Drain,
+    /// Takes the subject's own drain back.
+    Undrain,
+    /// Share of new work against other backends of weight 1: [`WEIGHT_LEAST`] to [`WEIGHT_MOST`].
+    Weight(f64),
+}
+
+impl fmt::Display for Change {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(&match self {
+            Change::Drain => "drain".to_string(),
+            Change::Undrain => "undrain".to_string(),
+            Change::Weight(weight) => format!("weight {weight}"),
+        })
+    }
+}
+
+/// An order.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Order {
+    /// Given by whoever made it. The same id again is the same order.
+    pub id: OrderId,
+    /// Given by the one that writes orders down.
+    pub revision: Revision,
+    /// Whom it is about.
+    pub subject: Subject,
+    /// What it changes.
+    pub change: Change,
+}
+
+impl Order {
+    /// Whether the order can be carried out at all.
+    ///
+    /// # Errors
+    /// A [`BadOrder`] that says why not.
+    pub fn check(&self) -> Result<(), BadOrder> {
+        BadOrder::of(&self.subject, self.change)
+    }
+}
+
+/// What became of an order at a gateway.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Outcome {
+    /// It holds.
+    Applied,
+    /// A newer order of this revision holds, or did; nothing was changed.
+    Superseded(Revision),
+    /// Not taken, for this reason; nothing was changed.
+    Refused(String),
+}
+
+/// An order that can't be one.
+#[derive(Clone, Debug, PartialEq)]
+pub enum BadOrder {
+    /// A name is none.
+    Name(BadName),
+    /// The group is no number.
+    Group,
+    /// The subject is of no known kind.
+    Subject,
+    /// A weight out of range.
+    Weight(f64),
+    /// A weight of something that is no backend.
+    WeightOf(Subject),
+}
+
+impl BadOrder {
+    /// Looks for what is wrong with an order.
+    ///
+    /// # Errors
+    /// What is wrong, if anything is.
+    pub fn of(subject: &Subject, change: Change) -> Result<(), BadOrder> {
+        let Change::Weight(weight) = change else { return Ok(()) };
+        if !matches!(subject, Subject::Backend(_)) {
+            return Err(BadOrder::WeightOf(subject.clone()));
+        }
+        if (WEIGHT_LEAST..=WEIGHT_MOST).contains(&weight) {
+            Ok(())
+        } else {
+            Err(BadOrder::Weight(weight))
+        }
+    }
+}
+
+impl From<BadName> for BadOrder {
+    fn from(e: BadName) -> Self {
+        BadOrder::Name(e)
+    }
+}
+
+impl fmt::Display for BadOrder {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            BadOrder::Name(e) => e.fmt(f),
+            BadOrder::Group => write!(f, "a group is a whole number, as in group/3"),
+            BadOrder::Subject => {
+                write!(f, "a subject is NAME, backend/NAME, group/NUMBER, type/NAME or gateway/NAME")
+            }
+            BadOrder::Weight(w) => {
+                write!(f, "weight {w}: {WEIGHT_LEAST} to {WEIGHT_MOST} is wanted; for none, drain")
+            }
+            BadOrder::WeightOf(subject) => write!(f, "{subject} has no weight; a backend has"),
+        }
+    }
+}
+
+impl std::error::Error for BadOrder {}
--- /dev/null
+++ b/crates/fleet/src/wire.rs
@@ -0,0 +1,397 @@
+//! Messages between tools, agent and gateways: one JSON object a line, in both directions.
+//!
+//! Whoever asks numbers its questions; each answer carries the number of its question. A gateway answers
+//! each question once and in order. The agent may say several things to one question; the last of them is
+//! [`Say::Done`], [`Say::Fault`] or the one thing that was asked for.
+
+use serde::{Deserialize, Serialize};
+
+use crate::desired::Snapshot;
+use crate::guard::Counts;
+use crate::member::Health;
+use crate::name::{Name, OrderId};
+use crate::order::{Change, Order, Outcome, Revision, Subject};
+
+/// The longest line that a gateway or an agent takes, bytes: a snapshot of all the registers fits.
+pub const LINE_MOST: usize = 4 << 20;
+/// The longest line that a person's tool may send to an agent, bytes.
+pub const TOOL_LINE_MOST: usize = 64 << 10;
+/// The most orders of one [`GatewayAsk::Apply`].
+pub const ORDERS_MOST: usize = 512;
+
+/// A question with its number.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Numbered<T> {
+    /// Given back with the answer.
+    pub n: u64,
+    /// The question, or the answer.
+    #[serde(flatten)]
+    pub body: T,
+}
+
+/// What a gateway can be asked.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(tag = "op", rename_all = "lowercase")]
+pub enum GatewayAsk {
+    /// Its state, and that of each backend if wanted.
+    State {
+        /// Whether each backend is wanted.
+        #[serde(default)]
+        backends: bool,
+    },
+    /// To take orders in, at most [`ORDERS_MOST`].
+    Apply {
+        /// The orders.
+        orders: Vec<Order>,
+    },
+    /// To take a whole state in.
+    Adopt {
+        /// The state.
+        snapshot: Snapshot,
+    },
+    /// How many attempts are in flight at the subject.
+    Inflight {
+        /// A backend, a group, a type, or the gateway itself.
+        subject: Subject,
+    },
+}
+
+/// What a gateway answers.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum GatewaySay {
+    /// Its state.
+    State(GatewayState),
+    /// What became of orders or a whole state.
+    Applied(Applied),
+    /// Attempts in flight; requests, where the subject is a gateway.
+    Inflight(u64),
+    /// Nothing was done.
+    Fault(Fault),
+}
+
+/// What became of orders at a gateway.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Applied {
+    /// The gateway's process: new with each start, below 2^53.
+    pub boot: u64,
+    /// The newest revision that it holds.
+    pub holds: Revision,
+    /// For each order, in their order.
+    pub verdicts: Vec<Verdict>,
+}
+
+/// What became of an order at a gateway.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Verdict {
+    /// The order.
+    pub id: OrderId,
+    /// What became of it.
+    pub outcome: Outcome,
+    /// Backends on the gateway's list that the subject covers; 1 for the gateway itself.
+    pub matched: u32,
+}
+
+/// A gateway's state.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct GatewayState {
+    /// Its name.
+    pub name: String,
+    /// Version of its program.
+    pub version: String,
+    /// Its process: new with each start, below 2^53.
+    pub boot: u64,
+    /// The newest revision that it holds.
+    pub holds: Revision,
+    /// The order that was taken in last, if any was.
+    pub last_order: Option<OrderId>,
+    /// The order that drains the gateway itself, if any does.
+    pub drained_by: Option<OrderId>,
+    /// Grows with each change of a line that a backend's row below is made of, but for what is in flight.
+    pub list: u64,
+    /// Figures.
+    pub figures: Figures,
+    /// Its backends, where they were asked for.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub backends: Option<Vec<BackendState>>,
+}
+
+/// Figures of a gateway.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Figures {
+    /// Backends on the list.
+    pub listed: u32,
+    /// Those that discovery says serve.
+    pub serving: u32,
+    /// Those that an order drains.
+    pub drained: u32,
+    /// Those that get no work as they failed or fell silent.
+    pub ejected: u32,
+    /// Those that are still warming up.
+    pub cold: u32,
+    /// Requests that are owed an answer.
+    pub requests: u64,
+    /// Attempts in flight.
+    pub in_flight: u64,
+    /// Connections to backends on which nothing is in flight.
+    pub idle_connections: u32,
+    /// Connections of clients.
+    pub client_connections: u32,
+    /// Customers whose store is held.
+    pub customers: u64,
+}
+
+/// A backend as a gateway sees it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct BackendState {
+    /// Its name.
+    pub name: String,
+    /// Where it listens.
+    pub address: String,
+    /// Its group.
+    pub group: u32,
+    /// Its type.
+    #[serde(rename = "type")]
+    pub kind: String,
+    /// Its zone.
+    pub zone: String,
+    /// Whether discovery says that it serves; else it drains.
+    pub serving: bool,
+    /// The order that drains it, if any does.
+    pub drained_by: Option<OrderId>,
+    /// The weight that is ordered; 1 without.
+    pub weight: f64,
+    /// Whether it gets no work as it failed or fell silent.
+    pub ejected: bool,
+    /// Part of its capacity that it is taken to have, 0 to 1.
+    pub warmth: f64,
+    /// Attempts in flight there.
+    pub in_flight: u64,
+}
+
+/// What an agent can be asked.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(tag = "op", rename_all = "lowercase")]
+pub enum Ask {
+    /// To write an order down and have every gateway carry it out.
+    Order {
+        /// Given by whoever makes it. The same id again gives the first result.
+        id: OrderId,
+        /// Whom it is about.
+        subject: Subject,
+        /// What it changes.
+        change: Change,
+        /// Whether the guard and unknown subjects are passed over.
+        #[serde(default)]
+        forced: bool,
+        /// How long to wait for the gateways, ms.
+        deadline_ms: u64,
+    },
+    /// All gateways, and the backends as they see them if wanted.
+    Status {
+        /// Whether backends are wanted.
+        #[serde(default)]
+        backends: bool,
+    },
+    /// The orders written down, newest first.
+    Orders {
+        /// How many.
+        most: usize,
+    },
+    /// What is in flight at a subject, gateway by gateway, asked afresh.
+    Inflight {
+        /// The subject.
+        subject: Subject,
+        /// How long to wait for the gateways, ms.
+        deadline_ms: u64,
+    },
+    /// Every change from now on, until the line is closed.
+    Watch,
+    /// To oversee a gateway from now on.
+    Register {
+        /// Its name.
+        name: Name,
+        /// Its admin listener.
+        address: String,
+    },
+    /// To oversee a gateway no more.
+    Deregister {
+        /// Its name.
+        name: Name,
+    },
+}
+
+/// What an agent says.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Say {
+    /// The order is written down for good.
+    Accepted(Accepted),
+    /// What one gateway did.
+    Instance(Instance),
+    /// All has been said about the order.
+    Done(Done),
+    /// All gateways.
+    Status(Status),
+    /// Orders, newest first.
+    Orders(Vec<Logged>),
+    /// What is in flight, by gateway.
+    Inflight(Vec<Instance>),
+    /// Something changed.
+    Event(String),
+    /// Nothing was done.
+    Fault(Fault),
+}
+
+/// An order that is written down.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Accepted {
+    /// Its place among all orders.
+    pub revision: Revision,
+    /// The id was known: this is the first result, and nothing was done.
+    pub repeated: bool,
+    /// What the guard counted.
+    pub counts: Counts,
+    /// Gateways that are to carry it out.
+    pub instances: u32,
+}
+
+/// An order as it was written down.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Logged {
+    /// The order.
+    #[serde(flatten)]
+    pub order: Order,
+    /// Whether it passed over the guard.
+    pub forced: bool,
+    /// When, Unix time in ms.
+    pub at_ms: u64,
+    /// What the guard counted.
+    pub counts: Counts,
+}
+
+/// What one gateway did.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Instance {
+    /// Its name.
+    pub gateway: String,
+    /// What it did.
+    #[serde(flatten)]
+    pub did: Did,
+}
+
+/// What a gateway did with an order.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "did", rename_all = "lowercase")]
+pub enum Did {
+    /// It answered.
+    Answered {
+        /// What became of the order there; none for a gateway that caught up by the whole state.
+        outcome: Outcome,
+        /// Backends on its list that the subject covers.
+        matched: u32,
+        /// From the writing down to its answer, ms.
+        took_ms: f64,
+    },
+    /// It answered how much is in flight.
+    Counted {
+        /// Attempts, or requests where the subject is a gateway.
+        in_flight: u64,
+    },
+    /// It can't be reached. It goes on with its last orders, and gets the whole state when it is back.
+    Unreachable {
+        /// Why.
+        why: String,
+    },
+    /// It did not answer within the deadline.
+    Late,
+}
+
+impl Did {
+    /// Whether the gateway is known to have done it.
+    #[must_use]
+    pub fn done(&self) -> bool {
+        match self {
+            Did::Answered { outcome, .. } => !matches!(outcome, Outcome::Refused(_)),
+            Did::Counted { .. } => true,
+            Did::Unreachable { .. } | Did::Late => false,
+        }
+    }
+}
+
+/// The end of what is said about an order.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Done {
+    /// Gateways that did it.
+    pub done: u32,
+    /// Gateways that are not known to have done it.
+    pub failed: u32,
+}
+
+/// All gateways.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Status {
+    /// The newest revision.
+    pub revision: Revision,
+    /// Each gateway, by name.
+    pub gateways: Vec<MemberState>,
+    /// What is ordered.
+    pub ordered: Vec<crate::desired::Register>,
+}
+
+/// A gateway as the agent knows it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct MemberState {
+    /// Its name.
+    pub name: String,
+    /// Its admin listener.
+    pub address: String,
+    /// Whether it can be relied on.
+    pub health: Health,
+    /// The newest revision that it was heard to hold.
+    pub holds: Revision,
+    /// When it was last heard, ms ago.
+    pub heard_ms_ago: Option<u64>,
+    /// How often it was seen to have started anew.
+    pub restarts: u32,
+    /// What it last told.
+    pub state: Option<GatewayState>,
+}
+
+/// Why nothing was done.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Fault {
+    /// The kind, for programs.
+    pub code: Code,
+    /// What is wrong and what to do, for people.
+    pub message: String,
+}
+
+/// Kinds of faults.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Code {
+    /// The message can't be read, or can't be carried out as it is.
+    BadRequest,
+    /// The line is longer than is taken.
+    TooLong,
+    /// Whoever asks may not.
+    Forbidden,
+    /// No gateway knows the subject.
+    UnknownSubject,
+    /// The guard refuses.
+    TooFew,
+    /// The id was used for another order.
+    IdReused,
+    /// Full, or about to end; worth another try.
+    Unavailable,
+    /// The log can't be written.
+    Log,
+}
+
+impl Fault {
+    /// A fault of a kind.
+    pub fn new(code: Code, message: impl Into<String>) -> Fault {
+        Fault { code, message: message.into() }
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/orders.rs
@@ -0,0 +1,158 @@
+//! Single orders, the guard, and what is known of gateways.
+
+use beechrudder_fleet::*;
+
+fn order(id: &str, seq: u64, subject: &str, change: Change) -> Order {
+    let revision = Revision { term: 1, seq };
+    Order { id: id.parse().expect("an id"), revision, subject: subject.parse().expect("one"), change }
+}
+
+fn drained(state: &Desired, name: &str) -> bool {
+    state.effect(name, 3, "m2").drained_by.is_some()
+}
+
+#[test]
+fn the_same_id_again_gives_the_first_result_and_does_nothing() {
+    let mut state = Desired::default();
+    assert_eq!(state.apply(&order("a", 1, "s-1", Change::Drain)), Outcome::Applied);
+    assert_eq!(state.apply(&order("b", 2, "s-1", Change::Undrain)), Outcome::Applied);
+    let before = state.snapshot();
+    // Under a newer revision it would drain again.
+    assert_eq!(state.apply(&order("a", 3, "s-1", Change::Drain)), Outcome::Applied);
+    assert_eq!(state.snapshot(), before);
+    assert!(!drained(&state, "s-1"));
+}
+
+#[test]
+fn an_old_drain_after_a_newer_undrain_is_superseded_even_when_that_is_settled() {
+    for settled in [false, true] {
+        let mut state = Desired::default();
+        state.apply(&order("b", 2, "s-1", Change::Undrain));
+        if settled {
+            state.compact();
+            assert_eq!(state.registers().count(), 0);
+        }
+        let late = state.apply(&order("a", 1, "s-1", Change::Drain));
+        assert_eq!(late, Outcome::Superseded(Revision { term: 1, seq: 2 }));
+        assert!(!drained(&state, "s-1"));
+    }
+}
+
+#[test]
+fn orders_on_other_subjects_do_not_supersede() {
+    let mut state = Desired::default();
+    state.apply(&order("b", 2, "s-2", Change::Drain));
+    assert_eq!(state.apply(&order("a", 1, "s-1", Change::Drain)), Outcome::Applied);
+    assert_eq!(state.apply(&order("c", 3, "s-1", Change::Weight(0.5))), Outcome::Applied);
+    let effect = state.effect("s-1", 3, "m2");
+    assert_eq!((effect.drained_by.expect("drained").as_str(), effect.weight), ("a", 0.5));
+}
+
+#[test]
+fn a_new_term_stands_above_every_sequence_of_the_old() {
+    let mut state = Desired::default();
+    state.apply(&order("a", 900, "s-1", Change::Drain));
+    let mut newer = order("b", 1, "s-1", Change::Undrain);
+    newer.revision.term = 2;
+    assert_eq!(state.apply(&newer), Outcome::Applied);
+    assert!(!drained(&state, "s-1"));
+}
+
+#[test]
+fn a_backend_is_back_only_when_nothing_drains_it() {
+    let mut state = Desired::default();
+    state.apply(&order("a", 1, "s-1", Change::Drain));
+    state.apply(&order("b", 2, "group/3", Change::Drain));
+    state.apply(&order("c", 3, "type/m2", Change::Drain));
+    state.apply(&order("d", 4, "group/3", Change::Undrain));
+    assert!(drained(&state, "s-1") && drained(&state, "s-2"));
+    state.apply(&order("e", 5, "type/m2", Change::Undrain));
+    assert!(drained(&state, "s-1") && !drained(&state, "s-2"));
+}
+
+#[test]
+fn a_state_holds_so_many_registers_and_no_more() {
+    let mut state = Desired::default();
+    for i in 1..=REGISTERS_MOST as u64 {
+        let o = order(&format!("o{i}"), i, &format!("s-{i}"), Change::Drain);
+        assert_eq!(state.apply(&o), Outcome::Applied);
+    }
+    let one_more = state.apply(&order("x", 1 << 20, "s-0", Change::Drain));
+    assert!(matches!(one_more, Outcome::Refused(_)), "{one_more:?}");
+    // What is known may still change.
+    assert_eq!(state.apply(&order("y", 1 << 21, "s-1", Change::Undrain)), Outcome::Applied);
+}
+
+#[test]
+fn odd_subjects_weights_and_names_are_refused_in_few_words() {
+    for text in ["group/x", "zone/a", "", "a b", "type/", "s\u{7}1", &"n".repeat(10 << 20)] {
+        let error = text.parse::<Subject>().expect_err("odd").to_string();
+        assert!(error.len() < 120, "{error}");
+    }
+    for weight in [0.0, -1.0, f64::NAN, f64::INFINITY, 101.0] {
+        let bad = order("a", 1, "s-1", Change::Weight(weight));
+        assert!(bad.check().is_err(), "{weight}");
+        assert!(matches!(Desired::default().apply(&bad), Outcome::Refused(_)));
+    }
+    assert!(order("a", 1, "group/3", Change::Weight(0.5)).check().is_err());
+}
+
+fn fleet(n: u32, groups: u32) -> Vec<Backend> {
+    let backend =
+        |i: u32| Backend { name: format!("s-{i}"), group: i % groups, kind: "m".to_string(), serving: true };
+    (0..n).map(backend).collect()
+}
+
+fn judge(state: &Desired, order: &Order, backends: &[Backend], gateways: &[&str]) -> Result<Counts, TooFew> {
+    guard(state, order, backends.iter(), gateways.iter().copied(), 0.5)
+}
+
+#[test]
+fn the_guard_refuses_what_would_leave_too_few_and_says_how_many() {
+    let (mut state, mut backends) = (Desired::default(), fleet(8, 2));
+    backends[7].serving = false;
+    state.apply(&order("a", 1, "s-0", Change::Drain));
+    let refused = judge(&state, &order("b", 2, "group/0", Change::Drain), &backends, &[]);
+    let refused = refused.expect_err("three of seven would be left");
+    assert_eq!((refused.counts.serving, refused.counts.ready, refused.counts.left), (7, 6, 3));
+    assert_eq!(refused.least, 4);
+    assert!(refused.to_string().contains("3 of 7 backends"), "{refused}");
+    // One fewer is allowed; so is whatever changes nothing, or takes a drain back.
+    assert!(judge(&state, &order("c", 2, "s-2", Change::Drain), &backends, &[]).is_ok());
+    (1..7).for_each(|i| {
+        state.apply(&order(&format!("d{i}"), 2 + i, &format!("s-{i}"), Change::Drain));
+    });
+    assert!(judge(&state, &order("e", 20, "s-3", Change::Drain), &backends, &[]).is_ok());
+    assert!(judge(&state, &order("f", 20, "s-3", Change::Undrain), &backends, &[]).is_ok());
+}
+
+#[test]
+fn the_guard_counts_gateways_where_one_is_drained() {
+    let mut state = Desired::default();
+    let names = ["n0", "n1", "n2"];
+    let first = order("a", 1, "gateway/n0", Change::Drain);
+    assert_eq!(judge(&state, &first, &[], &names).expect("two are left").left, 2);
+    state.apply(&first);
+    let refused = judge(&state, &order("b", 2, "gateway/n1", Change::Drain), &[], &names);
+    assert_eq!(refused.expect_err("one would be left").of, "gateways");
+}
+
+#[test]
+fn a_gateway_that_is_silent_or_lost_is_never_ok() {
+    let (mut member, newest) = (Member::default(), Revision { term: 1, seq: 5 });
+    let heard = |holds| Sighting::Heard { boot: 7, holds };
+    assert_eq!(member.health(0.0, newest, 2_000.0), Health::Unknown);
+    member.saw(0.0, heard(Revision { term: 1, seq: 4 }));
+    assert_eq!(member.health(10.0, newest, 2_000.0), Health::Behind);
+    member.saw(20.0, heard(newest));
+    assert_eq!(member.health(30.0, newest, 2_000.0), Health::Ok);
+    assert!(matches!(member.health(2_021.0, newest, 2_000.0), Health::Unreachable { .. }));
+    member.saw(40.0, Sighting::Lost("connection refused".to_string()));
+    member.saw(90.0, Sighting::Lost("no answer".to_string()));
+    assert_eq!(member.lost_since_ms(), Some(40.0));
+    assert!(
+        matches!(member.health(91.0, newest, 2_000.0), Health::Unreachable { why } if why == "no answer")
+    );
+    assert!(member.saw(100.0, Sighting::Heard { boot: 8, holds: Revision::default() }), "a new process");
+    assert_eq!((member.restarts, member.health(101.0, newest, 2_000.0)), (1, Health::Behind));
+}
--- a/crates/gateway/src/backends.rs
+++ b/crates/gateway/src/backends.rs
@@ -153,6 +153,11 @@
         replaced
     }
 
+    /// Connections on which nothing is in flight.
+    pub fn idle(&self) -> usize {
+        self.pools.values().map(|p| p.idle.len()).sum()
+    }
+
     pub fn known(&self, backend: u32) -> bool {
         self.pools.contains_key(&backend)
     }
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -11,7 +11,7 @@
 use slatelock::settings::Names;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, oneshot, Notify, OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{mpsc, oneshot, watch, Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::time::{sleep, timeout, Instant};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -28,6 +28,8 @@
 const LINGER: (Duration, usize) = (Duration::from_millis(200), 256 * 1024);
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Pause after the listener could not be opened again.
+const REOPEN_PAUSE: Duration = Duration::from_millis(100);
 /// How long a new connection may stay silent, and a command that has begun may take to come whole.
 const FIRST_MOST: Duration = Duration::from_millis(2_000);
 const WHOLE_MOST: Duration = Duration::from_millis(2_000);
@@ -46,6 +48,9 @@
 /// How long a new connection may wait for a place, and how often one is looked for.
 const PLACE_MOST: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(20));
 
+/// Whether operators have drained the gateway.
+pub type Drained = watch::Receiver<bool>;
+
 /// What all client connections share.
 #[derive(Debug)]
 pub struct Clients {
@@ -62,33 +67,72 @@
 }
 
 impl Clients {
-    /// Accepts connections until the task ends, at most so many at once.
-    pub async fn accept(self: Arc<Self>, listener: TcpListener, most: usize) {
+    /// Accepts connections until the task ends, at most so many at once. While the gateway is drained the
+    /// listener is closed, so that new ones are refused and go elsewhere, and those that are open close as
+    /// they fall quiet.
+    pub async fn accept(self: Arc<Self>, listener: TcpListener, most: usize, mut drained: Drained) {
         let mut places = Places { free: Arc::new(Semaphore::new(most)), seats: Vec::new(), most };
+        let Ok(address) = listener.local_addr() else { return };
+        let (mut open, mut closing) = (Some(listener), self.closing.child_token());
         loop {
-            let mut stream = match listener.accept().await {
-                Ok((stream, _)) => stream,
-                Err(_) => {
-                    // Danger: no descriptor left, and a loop that does nothing but fail.
-                    sleep(ACCEPT_PAUSE).await;
-                    continue;
+            let told = *drained.borrow_and_update();
+            match open.take() {
+                Some(listener) if !told => {
+                    tokio::select! {
+                        accepted = listener.accept() => match accepted {
+                            Ok((stream, _)) => self.serve(stream, &mut places, &closing).await,
+                            // Danger: no descriptor left, and a loop that does nothing but fail.
+                            Err(_) => sleep(ACCEPT_PAUSE).await,
+                        },
+                        Ok(()) = drained.changed() => {}
+                    }
+                    open = Some(listener);
                 }
-            };
-            let Some((place, seat)) = places.take().await else {
-                // Danger: more connections than descriptors. Whoever comes too late is told so.
-                let _ = timeout(ACCEPT_PAUSE, stream.write_all(b"-BUSY\r\n")).await;
-                continue;
-            };
-            let clients = Arc::clone(&self);
-            self.tasks.spawn(async move {
-                let (owed, quiet) = (VecDeque::new(), Some(seat.opened));
-                let mut connection = Client { clients, stream, seat, owed, quiet, begun: None, last: false };
-                connection.serve().await;
-                connection.left().await;
-                drop(place);
-            });
+                Some(listener) => {
+                    // Danger: connections that the system took already, reset with their first requests.
+                    while let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await {
+                        self.serve(stream, &mut places, &closing).await;
+                    }
+                    closing.cancel();
+                }
+                None if told => {
+                    if drained.changed().await.is_err() {
+                        return;
+                    }
+                }
+                None => match TcpListener::bind(address).await {
+                    Ok(listener) => (open, closing) = (Some(listener), self.closing.child_token()),
+                    Err(e) => {
+                        eprintln!("slatelock-gateway: undrain: {address}: {e}; trying again");
+                        sleep(REOPEN_PAUSE).await;
+                    }
+                },
+            }
         }
     }
+
+    /// Gives a connection a place and a task, or turns it away.
+    async fn serve(
+        self: &Arc<Self>,
+        mut stream: TcpStream,
+        places: &mut Places,
+        closing: &CancellationToken,
+    ) {
+        let Some((place, seat)) = places.take().await else {
+            // Danger: more connections than descriptors. Whoever comes too late is told so.
+            let _ = timeout(ACCEPT_PAUSE, stream.write_all(b"-BUSY\r\n")).await;
+            return;
+        };
+        let (clients, closing) = (Arc::clone(self), closing.clone());
+        self.tasks.spawn(async move {
+            let (owed, quiet) = (VecDeque::new(), Some(seat.opened));
+            let (begun, last) = (None, false);
+            let mut connection = Client { clients, stream, seat, closing, owed, quiet, begun, last };
+            connection.serve().await;
+            connection.left().await;
+            drop(place);
+        });
+    }
 }
 
 /// A connection as the acceptor knows it.
@@ -167,6 +211,8 @@
     clients: Arc<Clients>,
     stream: TcpStream,
     seat: Arc<Seat>,
+    /// Says that it is to close as soon as it owes no answer.
+    closing: CancellationToken,
     owed: VecDeque<Owed>,
     /// Since when nothing is open or half read.
     quiet: Option<Instant>,
@@ -180,7 +226,7 @@
     /// Serves the connection until it ends or is to close.
     async fn serve(&mut self) {
         let (mut input, mut output) = (BytesMut::new(), BytesMut::new());
-        let closing = self.clients.closing.clone();
+        let closing = self.closing.clone();
         if self.stream.set_nodelay(true).is_err() {
             return;
         }
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -20,6 +20,8 @@
 
 /// What the configuration tells.
 pub struct Config {
+    /// Its name, by which operators call it; empty where the configuration has none.
+    pub name: String,
     pub listen: SocketAddr,
     pub peers: Peers,
     pub seed: u64,
@@ -49,6 +51,7 @@
         let seed = u64::from_str_radix(top.text("seed")?, 16);
         let known = List::deserialize(top.get("known")?);
         Ok(Config {
+            name: top.text("name").unwrap_or_default().to_string(),
             listen: address("listen")?,
             peers: Peers {
                 discovery: address("discovery")?,
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -48,6 +48,9 @@
     pub name: String,
     pub address: SocketAddr,
     pub zone: String,
+    /// What kind of machine it is; orders may name it.
+    #[serde(default, rename = "type")]
+    pub kind: String,
     pub group: u32,
     pub status: Status,
     #[serde(default)]
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -1,7 +1,10 @@
 //! Owns the decisions: turns what happens on sockets into events, and carries out the actions.
 
+mod overseen;
+
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::future::poll_fn;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -21,6 +24,9 @@
 use crate::discovery::{Endpoint, News, Status};
 use crate::input::{Due, Input, Key};
 use crate::resp::{Answer, Call};
+use crate::roster::Roster;
+
+pub use overseen::Overseen;
 
 /// What a client's waiting time loses on the way here and back, ms.
 const MARGIN_MS: f64 = 5.0;
@@ -67,15 +73,25 @@
     Writing(AbortHandle),
 }
 
+/// What a driver works with beside the decisions.
+pub struct Around {
+    pub backends: Backends,
+    pub counter: Option<Counter>,
+    pub inbox: mpsc::Sender<Input>,
+    /// Bytes of requests and answers that there may be yet.
+    pub room: Arc<Semaphore>,
+    pub overseen: Overseen,
+}
+
 /// The driver and all it owns.
 pub struct Driver {
     gateway: Gateway,
     clock: Clock,
     names: Names,
     backends: Backends,
-    /// The numbers of the backends on the list, and the last that was given.
-    numbers: HashMap<String, u32>,
-    last_number: u32,
+    roster: Roster,
+    /// What operators want, and what they are told.
+    overseen: Overseen,
     counter: Option<Counter>,
     held: HashMap<u64, Held>,
     /// The clients' names of the requests that are owed an answer.
@@ -94,23 +110,16 @@
 }
 
 impl Driver {
-    pub fn new(
-        gateway: Gateway,
-        clock: Clock,
-        names: Names,
-        backends: Backends,
-        counter: Option<Counter>,
-        inbox: mpsc::Sender<Input>,
-        room: Arc<Semaphore>,
-    ) -> Self {
+    pub fn new(gateway: Gateway, clock: Clock, names: Names, around: Around) -> Self {
+        let Around { backends, counter, inbox, room, overseen } = around;
         Driver {
             gateway,
             clock,
             load_fields: names.load_fields.clone().into(),
             names,
             backends,
-            numbers: HashMap::new(),
-            last_number: 0,
+            roster: Roster::new(),
+            overseen,
             counter,
             held: HashMap::new(),
             open: HashSet::new(),
@@ -209,6 +218,11 @@
             }
             Input::List(News { scope, endpoints }) => self.list(scope, endpoints),
             Input::Due(Due::Timer(token)) => self.handle(Event::Timer { token }),
+            Input::Asked { ask, say } => {
+                let answer = self.asked(ask);
+                // Fails only when whoever asked is gone.
+                let _ = say.send(answer);
+            }
             Input::FailAll => {
                 let ids: Vec<u64> = self.held.keys().copied().collect();
                 for id in ids {
@@ -439,32 +453,28 @@
     }
 
     fn list(&mut self, scope: ListScope, endpoints: Vec<Endpoint>) {
-        let mut entries = Vec::with_capacity(endpoints.len());
+        let mut lines = Vec::with_capacity(endpoints.len());
         for endpoint in endpoints {
-            let gone = matches!(endpoint.status, Status::Deleted);
-            let id = match self.numbers.get(&endpoint.name) {
-                Some(id) => *id,
-                None if gone => continue,
-                None => {
-                    self.last_number += 1;
-                    self.numbers.insert(endpoint.name.clone(), self.last_number);
-                    self.last_number
-                }
-            };
-            let zone = self.names.zones.iter().position(|z| *z == endpoint.zone);
-            let entry = BackendEntry {
-                id,
-                state: endpoint.status.into(),
-                cell: endpoint.group,
-                zone: zone.map_or(u32::MAX, |z| z as u32),
-                started_ms: endpoint.since_ms,
-                weight: endpoint.weight,
-            };
-            if gone {
-                self.numbers.remove(&endpoint.name);
-            }
+            let gone = matches!(endpoint.status, Status::Deleted).then(|| endpoint.name.clone());
+            let address = endpoint.address;
+            let desired = &self.overseen.desired;
+            let Some(entry) = self.roster.take(endpoint, desired, &self.names.zones) else { continue };
+            gone.into_iter().for_each(|name| self.roster.remove(&name));
+            lines.push((entry, address));
+        }
+        self.lines(scope, lines);
+        let reshared = self.roster.reshare(&self.names.zones);
+        if !reshared.is_empty() {
+            self.lines(ListScope::Delta, reshared);
+        }
+    }
+
+    /// Takes lines of the list in, as discovery and operators make them together.
+    fn lines(&mut self, scope: ListScope, lines: Vec<(BackendEntry, SocketAddr)>) {
+        let mut entries = Vec::with_capacity(lines.len());
+        for (entry, address) in lines {
             // Danger: a request for a backend that is no more, sent to the one that has its address now.
-            let replaced = self.backends.update(&entry, endpoint.address);
+            let replaced = self.backends.update(&entry, address);
             entries.push(entry);
             for id in replaced {
                 entries.retain(|e: &BackendEntry| e.id != id);
@@ -476,7 +486,7 @@
         }
         // Danger: names of backends that came and went, kept for good. A number is never used again.
         let backends = &self.backends;
-        self.numbers.retain(|_, id| backends.known(*id));
+        self.roster.keep_only(|id| backends.known(id));
         self.handle(Event::Backends { scope, entries: &entries });
     }
 }
--- /dev/null
+++ b/crates/gateway/src/driver/overseen.rs
@@ -0,0 +1,149 @@
+//! The driver's side that operators see: their orders are taken in here, and the state is told.
+
+use std::collections::HashMap;
+
+use beechrudder_fleet::wire::{
+    Applied, BackendState, Code, Fault, Figures, GatewayAsk, GatewaySay, GatewayState, Verdict, ORDERS_MOST,
+};
+use beechrudder_fleet::{Desired, OrderId, Subject};
+use slatelock::BackendView;
+use tokio::sync::watch;
+use tokio_util::task::TaskTracker;
+
+use super::Driver;
+use crate::discovery::Status;
+
+/// What operators want of this gateway, and what only the rest of the program knows of it.
+#[derive(Debug)]
+pub struct Overseen {
+    pub desired: Desired,
+    name: String,
+    /// New with each start, below 2^53.
+    boot: u64,
+    last_order: Option<OrderId>,
+    /// One task for each connection of a client.
+    clients: TaskTracker,
+    /// Tells the listener whether the gateway itself is drained.
+    drained: watch::Sender<bool>,
+}
+
+impl Overseen {
+    pub fn new(name: String, boot: u64, clients: TaskTracker, drained: watch::Sender<bool>) -> Self {
+        let (desired, last_order) = (Desired::default(), None);
+        Overseen { desired, name, boot, last_order, clients, drained }
+    }
+}
+
+impl Driver {
+    /// Does what is asked, and says what became of it.
+    pub(super) fn asked(&mut self, ask: GatewayAsk) -> GatewaySay {
+        match ask {
+            GatewayAsk::State { backends } => GatewaySay::State(self.state(backends)),
+            GatewayAsk::Inflight { subject } => GatewaySay::Inflight(self.in_flight(&subject)),
+            GatewayAsk::Apply { orders } if orders.len() > ORDERS_MOST => {
+                let message = format!("{} orders at once; {ORDERS_MOST} at most", orders.len());
+                GatewaySay::Fault(Fault::new(Code::BadRequest, message))
+            }
+            GatewayAsk::Apply { orders } => {
+                let mut verdicts = Vec::with_capacity(orders.len());
+                for order in &orders {
+                    let outcome = self.overseen.desired.apply(order);
+                    self.overseen.last_order = Some(order.id.clone());
+                    let matched = self.matched(&order.subject);
+                    verdicts.push(Verdict { id: order.id.clone(), outcome, matched });
+                }
+                self.ordered(verdicts)
+            }
+            GatewayAsk::Adopt { snapshot } => {
+                self.overseen.desired.adopt(&snapshot);
+                self.ordered(Vec::new())
+            }
+        }
+    }
+
+    /// Carries out what the orders have changed, before anybody is told that they were taken in.
+    fn ordered(&mut self, verdicts: Vec<Verdict>) -> GatewaySay {
+        let lines = self.roster.reorder(&self.overseen.desired, &self.names.zones);
+        if !lines.is_empty() {
+            self.lines(slatelock::interface::ListScope::Delta, lines);
+        }
+        let drained = self.overseen.desired.gateway_drained(&self.overseen.name).is_some();
+        self.overseen.drained.send_if_modified(|was| std::mem::replace(was, drained) != drained);
+        let (boot, holds) = (self.overseen.boot, self.overseen.desired.revision());
+        GatewaySay::Applied(Applied { boot, holds, verdicts })
+    }
+
+    fn matched(&self, subject: &Subject) -> u32 {
+        match subject {
+            Subject::Gateway(name) => u32::from(name.as_str() == self.overseen.name),
+            _ => self.roster.covered(subject).count() as u32,
+        }
+    }
+
+    /// Attempts out at a subject, from when they were decided on; requests that are owed an answer, where it
+    /// is this gateway.
+    fn in_flight(&self, subject: &Subject) -> u64 {
+        match subject {
+            Subject::Gateway(name) if name.as_str() == self.overseen.name => self.open.len() as u64,
+            Subject::Gateway(_) => 0,
+            _ => {
+                let numbers: Vec<u32> = self.roster.covered(subject).map(|row| row.number).collect();
+                self.attempts.values().filter(|a| numbers.contains(&a.backend)).count() as u64
+            }
+        }
+    }
+
+    fn state(&self, backends: bool) -> GatewayState {
+        let seen: HashMap<u32, BackendView> =
+            self.gateway.backends(self.clock.now_ms()).map(|b| (b.id, b)).collect();
+        let mut out: HashMap<u32, u64> = HashMap::new();
+        self.attempts.values().for_each(|a| *out.entry(a.backend).or_default() += 1);
+        let mut rows: Vec<BackendState> = Vec::new();
+        let mut figures = Figures {
+            requests: self.open.len() as u64,
+            in_flight: self.attempts.len() as u64,
+            idle_connections: self.backends.idle() as u32,
+            client_connections: self.overseen.clients.len() as u32,
+            customers: self.gateway.customers() as u64,
+            ..Figures::default()
+        };
+        for row in self.roster.rows() {
+            let (e, view) = (&row.endpoint, seen.get(&row.number));
+            let (serving, drained_by) = (matches!(e.status, Status::Serving), row.effect.drained_by.clone());
+            let (ejected, warmth) = view.map_or((false, 1.0), |b| (b.ejected, b.warmth));
+            figures.listed += 1;
+            figures.serving += u32::from(serving);
+            figures.drained += u32::from(drained_by.is_some());
+            figures.ejected += u32::from(ejected);
+            figures.cold += u32::from(warmth < 1.0);
+            if backends {
+                rows.push(BackendState {
+                    name: e.name.clone(),
+                    address: e.address.to_string(),
+                    group: e.group,
+                    kind: e.kind.clone(),
+                    zone: e.zone.clone(),
+                    serving,
+                    drained_by,
+                    weight: row.effect.weight,
+                    ejected,
+                    warmth,
+                    in_flight: out.get(&row.number).copied().unwrap_or(0),
+                });
+            }
+        }
+        rows.sort_unstable_by(|a, b| a.name.cmp(&b.name));
+        let overseen = &self.overseen;
+        GatewayState {
+            name: overseen.name.clone(),
+            version: env!("CARGO_PKG_VERSION").to_string(),
+            boot: overseen.boot,
+            holds: overseen.desired.revision(),
+            last_order: overseen.last_order.clone(),
+            drained_by: overseen.desired.gateway_drained(&overseen.name).cloned(),
+            list: self.roster.changes(),
+            figures,
+            backends: backends.then_some(rows),
+        }
+    }
+}
--- a/crates/gateway/src/input.rs
+++ b/crates/gateway/src/input.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use beechrudder_fleet::wire::{GatewayAsk, GatewaySay};
 use tokio::sync::oneshot;
 
 use crate::backends::{Connection, Reply};
@@ -44,6 +45,11 @@
     Counter(Counter),
     List(News),
     Due(Due),
+    /// An operator, or the agent, asks.
+    Asked {
+        ask: GatewayAsk,
+        say: oneshot::Sender<GatewaySay>,
+    },
     /// The gateway is about to end: what is still open fails now.
     FailAll,
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,7 +1,8 @@
 //! The gateway: serves clients on a socket by the decisions of `slatelock`.
 //!
 //! ```text
-//!  clients ──┐                         ┌── backends   pools, exchanges
+//!  admin ────┐
+//!  clients ──┤                         ┌── backends   pools, exchanges
 //!  discovery ┼─ Input ─▶ driver ─ Action ┼── counter    calls
 //!  counter ──┘            │            └── clients    the one final answer
 //!                 slatelock::Gateway
@@ -10,6 +11,7 @@
 //! One thread. Tasks on sockets send an `Input` each; the driver owns the decisions and carries out their
 //! actions.
 
+mod admin;
 mod backends;
 mod clients;
 mod clock;
@@ -19,17 +21,26 @@
 mod driver;
 mod input;
 mod resp;
+mod roster;
 mod serve;
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
-/// Serves by the configuration that `GW_CONFIG` names until SIGTERM has been carried out.
+use beechrudder_operator::Operator;
+
+/// Serves by the configuration that `GW_CONFIG` names until SIGTERM has been carried out. Where `operator`
+/// names an operator's file with an `[admin]` section, operators can order and look from there.
 ///
 /// # Errors
 /// One line that names what is wrong: the variable, the file, a key, or a socket.
-pub fn run() -> Result<(), String> {
+pub fn run(operator: Option<&Path>) -> Result<(), String> {
+    let operator = operator.map(Operator::read).transpose().map_err(|e| e.to_string())?;
     let path = PathBuf::from(std::env::var_os("GW_CONFIG").ok_or("GW_CONFIG: missing")?);
     let config = config::Config::read(&path).map_err(|e| e.to_string())?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    runtime.map_err(|e| format!("runtime: {e}"))?.block_on(serve::serve(config, path))
+    runtime.map_err(|e| format!("runtime: {e}"))?.block_on(serve::serve(
+        config,
+        path,
+        operator.and_then(|o| o.admin),
+    ))
 }
--- /dev/null
+++ b/crates/gateway/src/roster.rs
@@ -0,0 +1,218 @@
+//! The list of backends as discovery tells it, and what operators' orders make of it. No I/O, no clock.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use beechrudder_fleet::{Desired, Effect, Subject};
+use slatelock::interface::{BackendEntry, Readiness};
+
+use crate::discovery::{Endpoint, Status};
+
+/// A backend on the list.
+#[derive(Debug)]
+pub struct Row {
+    /// The number that the decisions know it by.
+    pub number: u32,
+    /// The last that discovery told.
+    pub endpoint: Endpoint,
+    /// What orders make of it.
+    pub effect: Effect,
+}
+
+/// All backends on the list, by name.
+#[derive(Debug, Default)]
+pub struct Roster {
+    rows: HashMap<String, Row>,
+    /// The last number given; none is used again.
+    last: u32,
+    /// Grows with each change of a row.
+    changes: u64,
+    /// The greatest weight that is ordered, 1 at least.
+    greatest: f64,
+}
+
+impl Roster {
+    /// An empty list.
+    pub fn new() -> Roster {
+        Roster { greatest: 1.0, ..Roster::default() }
+    }
+
+    /// Takes a line of discovery's in, and gives the one that the decisions are to have; `None` for a
+    /// backend that is gone and was not known.
+    pub fn take(&mut self, endpoint: Endpoint, desired: &Desired, zones: &[String]) -> Option<BackendEntry> {
+        let (effect, name) = (effect(&endpoint, desired), endpoint.name.clone());
+        self.changes += 1;
+        match self.rows.get_mut(&name) {
+            Some(row) => (row.endpoint, row.effect) = (endpoint, effect),
+            None if matches!(endpoint.status, Status::Deleted) => return None,
+            None => {
+                self.last += 1;
+                self.rows.insert(name.clone(), Row { number: self.last, endpoint, effect });
+            }
+        }
+        self.rows.get(&name).map(|row| self.entry(row, zones))
+    }
+
+    /// Forgets those that are not to be kept. A number is never used again.
+    pub fn keep_only(&mut self, keep: impl Fn(u32) -> bool) {
+        let before = self.rows.len();
+        self.rows.retain(|_, row| keep(row.number));
+        self.changes += u64::from(self.rows.len() != before);
+    }
+
+    /// Forgets one that is gone.
+    pub fn remove(&mut self, name: &str) {
+        self.rows.remove(name);
+    }
+
+    /// Works out anew what orders make of the list. Gives the lines that the decisions are to have.
+    pub fn reorder(&mut self, desired: &Desired, zones: &[String]) -> Vec<(BackendEntry, SocketAddr)> {
+        let mut changed = Vec::new();
+        for (name, row) in &mut self.rows {
+            let effect = effect(&row.endpoint, desired);
+            if effect != row.effect {
+                row.effect = effect;
+                changed.push(name.clone());
+            }
+        }
+        self.changes += u64::from(!changed.is_empty());
+        if self.weigh() {
+            return self.all(zones);
+        }
+        // In the order of their numbers, so that the same orders lead to the same decisions.
+        let mut rows: Vec<&Row> = changed.iter().filter_map(|name| self.rows.get(name)).collect();
+        rows.sort_unstable_by_key(|row| row.number);
+        rows.into_iter().map(|row| (self.entry(row, zones), row.endpoint.address)).collect()
+    }
+
+    /// All lines, if the list has changed so that all shares have; else none.
+    pub fn reshare(&mut self, zones: &[String]) -> Vec<(BackendEntry, SocketAddr)> {
+        if self.weigh() {
+            self.all(zones)
+        } else {
+            Vec::new()
+        }
+    }
+
+    fn all(&self, zones: &[String]) -> Vec<(BackendEntry, SocketAddr)> {
+        let mut all: Vec<_> =
+            self.rows.values().map(|row| (self.entry(row, zones), row.endpoint.address)).collect();
+        all.sort_unstable_by_key(|(entry, _)| entry.id);
+        all
+    }
+
+    /// Looks for the greatest weight; tells whether it is another.
+    fn weigh(&mut self) -> bool {
+        let greatest = self.rows.values().map(|row| row.effect.weight).fold(1.0, f64::max);
+        let other = greatest != self.greatest;
+        self.greatest = greatest;
+        other
+    }
+
+    /// The line of a backend for the decisions. Discovery's DRAINING and DELETED win over every order.
+    fn entry(&self, row: &Row, zones: &[String]) -> BackendEntry {
+        let endpoint = &row.endpoint;
+        let zone = zones.iter().position(|z| *z == endpoint.zone);
+        let state = match Readiness::from(endpoint.status) {
+            Readiness::Ready if row.effect.drained_by.is_some() => Readiness::Draining,
+            told => told,
+        };
+        BackendEntry {
+            id: row.number,
+            state,
+            cell: endpoint.group,
+            zone: zone.map_or(u32::MAX, |z| z as u32),
+            started_ms: endpoint.since_ms,
+            weight: endpoint.weight,
+            share: (row.effect.weight / self.greatest).min(1.0),
+        }
+    }
+
+    /// All rows.
+    pub fn rows(&self) -> impl Iterator<Item = &Row> {
+        self.rows.values()
+    }
+
+    /// Those that a subject covers.
+    pub fn covered<'a>(&'a self, subject: &'a Subject) -> impl Iterator<Item = &'a Row> {
+        let covers = |e: &Endpoint| subject.covers(&e.name, e.group, &e.kind);
+        self.rows.values().filter(move |row| covers(&row.endpoint))
+    }
+
+    /// Grows with each change of a row.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+}
+
+fn effect(endpoint: &Endpoint, desired: &Desired) -> Effect {
+    desired.effect(&endpoint.name, endpoint.group, &endpoint.kind)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use beechrudder_fleet::{Change, Order, Revision};
+
+    fn endpoint(name: &str, status: Status) -> Endpoint {
+        let address = "127.0.0.1:1".parse().expect("an address");
+        let (zone, kind) = ("room".to_string(), "m".to_string());
+        Endpoint { name: name.to_string(), address, zone, kind, group: 3, status, weight: 1.0, since_ms: 0.0 }
+    }
+
+    fn order(desired: &mut Desired, seq: u64, subject: &str, change: Change) {
+        let (id, revision) = (format!("o{seq}").parse().expect("an id"), Revision { term: 1, seq });
+        desired.apply(&Order { id, revision, subject: subject.parse().expect("one"), change });
+    }
+
+    fn state(roster: &Roster, name: &str) -> Readiness {
+        roster.entry(&roster.rows[name], &[]).state
+    }
+
+    #[test]
+    fn discovery_wins_over_an_undrain_and_an_order_over_serving() {
+        let (mut roster, mut desired) = (Roster::new(), Desired::default());
+        order(&mut desired, 1, "a", Change::Drain);
+        order(&mut desired, 2, "b", Change::Undrain);
+        roster.take(endpoint("a", Status::Serving), &desired, &[]);
+        roster.take(endpoint("b", Status::Draining), &desired, &[]);
+        assert_eq!((state(&roster, "a"), state(&roster, "b")), (Readiness::Draining, Readiness::Draining));
+        order(&mut desired, 3, "a", Change::Undrain);
+        let changed = roster.reorder(&desired, &[]);
+        assert_eq!(changed.len(), 1);
+        assert_eq!(state(&roster, "a"), Readiness::Ready);
+        // Ordered by its group, one that comes later is drained from the first.
+        order(&mut desired, 4, "group/3", Change::Drain);
+        roster.take(endpoint("c", Status::Serving), &desired, &[]);
+        assert_eq!(state(&roster, "c"), Readiness::Draining);
+        roster.take(endpoint("c", Status::Deleted), &desired, &[]);
+        assert_eq!(state(&roster, "c"), Readiness::Gone);
+    }
+
+    #[test]
+    fn shares_are_weights_over_the_greatest() {
+        let (mut roster, mut desired) = (Roster::new(), Desired::default());
+        for name in ["a", "b", "c"] {
+            roster.take(endpoint(name, Status::Serving), &desired, &[]);
+        }
+        order(&mut desired, 1, "a", Change::Weight(0.5));
+        assert_eq!(roster.reorder(&desired, &[]).len(), 1);
+        let share = |roster: &Roster, name: &str| roster.entry(&roster.rows[name], &[]).share;
+        assert_eq!((share(&roster, "a"), share(&roster, "b")), (0.5, 1.0));
+        order(&mut desired, 2, "b", Change::Weight(4.0));
+        let changed = roster.reorder(&desired, &[]);
+        assert_eq!(changed.iter().map(|(e, _)| e.id).collect::<Vec<_>>(), [1, 2, 3]);
+        let shares = ["a", "b", "c"].map(|n| share(&roster, n));
+        assert_eq!(shares, [0.125, 1.0, 0.25]);
+    }
+
+    #[test]
+    fn a_number_is_never_used_again() {
+        let (mut roster, desired) = (Roster::new(), Desired::default());
+        let first = roster.take(endpoint("a", Status::Serving), &desired, &[]).map(|e| e.id);
+        roster.keep_only(|_| false);
+        assert!(roster.take(endpoint("a", Status::Deleted), &desired, &[]).is_none());
+        let second = roster.take(endpoint("a", Status::Serving), &desired, &[]).map(|e| e.id);
+        assert_ne!(first, second);
+    }
+}
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -5,22 +5,24 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use beechrudder_operator::Admin;
 use slatelock::interface::ListScope;
 use slatelock::Gateway;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
-use tokio::sync::{mpsc, Semaphore};
+use tokio::sync::{mpsc, watch, Semaphore};
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::{AbortOnDropHandle, TaskTracker};
 
+use crate::admin;
 use crate::backends::Backends;
 use crate::clients::Clients;
 use crate::clock::Clock;
 use crate::config::{Config, Peers};
 use crate::counter::Counter;
 use crate::discovery::{self, News};
-use crate::driver::Driver;
+use crate::driver::{Around, Driver, Overseen};
 use crate::input::Input;
 
 /// Descriptors for all but clients and backends: the runtime, the log, and the counter and discovery twice,
@@ -78,8 +80,14 @@
     }
 }
 
-pub async fn serve(config: Config, path: PathBuf) -> Result<(), String> {
-    let Config { listen, peers, seed, sockets, memory_mb, known, settings, names } = config;
+/// A number that no other start of a gateway has: its millisecond and its process, below 2^53.
+fn boot(clock: Clock) -> u64 {
+    (((clock.now_ms() as u64) << 12) | u64::from(std::process::id() & 0xfff)) & ((1 << 53) - 1)
+}
+
+/// Serves until SIGTERM has been carried out.
+pub async fn serve(config: Config, path: PathBuf, admin: Option<Admin>) -> Result<(), String> {
+    let Config { name, listen, peers, seed, sockets, memory_mb, known, settings, names } = config;
     let failed = |what: &'static str| move |e: std::io::Error| format!("{what}: {e}");
     let mut terminate = signal(SignalKind::terminate()).map_err(failed("SIGTERM"))?;
     let hangup = signal(SignalKind::hangup()).map_err(failed("SIGHUP"))?;
@@ -94,8 +102,11 @@
     let connect_limit = Duration::from_secs_f64(settings.limits.connect_timeout_ms / 1000.0);
     let backends = Backends::new(places, names.idle_close_ms, connect_limit);
     let room = Arc::new(Semaphore::new((memory_mb << 20) / ROOM_PART));
+    let (tasks, (drain, drained)) = (TaskTracker::new(), watch::channel(false));
+    let overseen = Overseen::new(name.clone(), boot(clock), tasks.clone(), drain);
     let (asks, bytes) = (inbox.clone(), Arc::clone(&room));
-    let mut driver = Driver::new(gateway, clock, names.clone(), backends, counter, asks, bytes);
+    let around = Around { backends, counter, inbox: asks, room: bytes, overseen };
+    let mut driver = Driver::new(gateway, clock, names.clone(), around);
     driver.take(Input::List(News { scope: ListScope::Cached, endpoints: known.endpoints }));
     tokio::spawn(follow(path, hangup, peers, wait, inbox.clone()));
     // Ready, with the list as it is now; if discovery is silent, with the known one.
@@ -107,7 +118,6 @@
     let deadline_ms = settings.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
     let drain = Duration::from_secs_f64(deadline_ms.min(DRAIN_MOST_MS) / 1000.0) + DRAIN_MORE;
     let closing = CancellationToken::new();
-    let tasks = TaskTracker::new();
     let clients = Arc::new(Clients {
         settings,
         names,
@@ -117,8 +127,13 @@
         closing: closing.clone(),
         tasks: tasks.clone(),
     });
+    if let Some(admin) = admin {
+        let listener = admin::listen(&admin, &name).await.map_err(|e| format!("admin: {e}"))?;
+        println!("admin on {}", listener.address().map_err(failed("admin"))?);
+        tokio::spawn(admin::serve(listener, inbox.clone()));
+    }
     println!("listening on {}", listener.local_addr().map_err(failed("listen"))?);
-    let accepting = tokio::spawn(clients.accept(listener, places));
+    let accepting = tokio::spawn(clients.accept(listener, places, drained));
     terminate.recv().await;
     let end = Instant::now() + drain;
     sleep(drain.saturating_sub(CLOSING).max(ACCEPT_ON.min(drain))).await;
--- /dev/null
+++ b/crates/operator/src/address.rs
@@ -0,0 +1,89 @@
+//! Where an admin listener or an agent is.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+
+/// Stands for a gateway's name in the path of its socket.
+pub const NAME_MARK: &str = "{name}";
+
+/// A Unix socket, `unix:PATH`, or an address with a port, `tcp:ADDRESS:PORT`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub enum Address {
+    /// A socket in the file system. Its mode, 0600, keeps others out.
+    Unix(PathBuf),
+    /// TCP, where certificates keep others out.
+    Tcp(SocketAddr),
+}
+
+impl Address {
+    /// Whether it is TCP.
+    #[must_use]
+    pub fn is_tcp(&self) -> bool {
+        matches!(self, Address::Tcp(_))
+    }
+
+    /// The address of a gateway of this name. Danger: a name with a slash, which leads elsewhere; it becomes
+    /// an underscore.
+    #[must_use]
+    pub fn of(&self, name: &str) -> Address {
+        match self {
+            Address::Unix(path) => {
+                let path = path.to_string_lossy().replace(NAME_MARK, &name.replace(['/', '\0'], "_"));
+                Address::Unix(path.into())
+            }
+            Address::Tcp(address) => Address::Tcp(*address),
+        }
+    }
+}
+
+/// A text that is no address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BadAddress;
+
+impl fmt::Display for BadAddress {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "unix:PATH or tcp:ADDRESS:PORT is wanted")
+    }
+}
+
+impl std::error::Error for BadAddress {}
+
+impl FromStr for Address {
+    type Err = BadAddress;
+
+    fn from_str(text: &str) -> Result<Self, BadAddress> {
+        match text.split_once(':') {
+            Some(("unix", path)) if !path.is_empty() => Ok(Address::Unix(path.into())),
+            Some(("tcp", address)) => address.parse().map(Address::Tcp).map_err(|_| BadAddress),
+            _ => Err(BadAddress),
+        }
+    }
+}
+
+impl TryFrom<String> for Address {
+    type Error = BadAddress;
+
+    fn try_from(text: String) -> Result<Self, BadAddress> {
+        text.parse()
+    }
+}
+
+impl From<Address> for String {
+    fn from(address: Address) -> String {
+        address.to_string()
+    }
+}
+
+impl fmt::Display for Address {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Address::Unix(path) => write!(f, "unix:{}", path.display()),
+            Address::Tcp(address) => write!(f, "tcp:{address}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/operator/src/lib.rs
@@ -0,0 +1,260 @@
+//! The operator-owned file, `operator.toml`: read, checked, and named by file, line and key when it is wrong.
+//!
+//! The platform's own configuration says nothing of what is in here, and a gateway that is given no such
+//! file opens no admin listener.
+
+mod address;
+
+use std::collections::BTreeSet;
+use std::fmt;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use serde::Deserialize;
+
+pub use address::{Address, BadAddress, NAME_MARK};
+
+/// The most gateways that an agent oversees.
+pub const GATEWAYS_MOST: usize = 10_000;
+
+/// The file.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Operator {
+    /// The admin listener of each gateway; none: off.
+    pub admin: Option<Admin>,
+    /// The agent.
+    pub agent: Option<Agent>,
+    /// The gateways that the agent oversees from its start.
+    #[serde(default, rename = "gateway")]
+    pub gateways: Vec<Gateway>,
+}
+
+/// The admin listener of a gateway.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Admin {
+    /// Where it listens; [`NAME_MARK`] in a path stands for the gateway's name. Over TCP only with `tls`.
+    pub listen: Address,
+    /// Certificates, for TCP.
+    pub tls: Option<Tls>,
+}
+
+/// Certificates of one side, PEM files. Both sides show one; each names whose it takes.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Tls {
+    /// Its own chain.
+    pub certificate: PathBuf,
+    /// Its own key.
+    pub key: PathBuf,
+    /// The authorities that sign the other side's.
+    pub authorities: PathBuf,
+}
+
+/// The agent.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Agent {
+    /// Where it listens for tools: a Unix socket.
+    pub listen: Address,
+    /// Its log of orders, a file of its own.
+    pub log: PathBuf,
+    /// The part of the serving backends, and of the gateways that answer, that an order has to leave ready
+    /// unless it is forced: 0 to 1.
+    #[serde(default = "least_ready")]
+    pub least_ready: f64,
+    /// How often each gateway is asked for its state, ms: 50 to 60,000.
+    #[serde(default = "heartbeat_ms")]
+    pub heartbeat_ms: u64,
+    /// How long a gateway may take to connect and to answer, ms: 10 to 60,000.
+    #[serde(default = "answer_ms")]
+    pub answer_ms: u64,
+    /// Gateways that are spoken to at the same moment, 1 to 4,096.
+    #[serde(default = "fan_out")]
+    pub fan_out: usize,
+    /// Certificates, for gateways whose admin listener is on TCP.
+    pub tls: Option<Tls>,
+}
+
+/// A gateway that the agent oversees.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Gateway {
+    /// Its name.
+    pub name: String,
+    /// Its admin listener.
+    pub admin: Address,
+}
+
+fn least_ready() -> f64 {
+    0.5
+}
+
+fn heartbeat_ms() -> u64 {
+    1_000
+}
+
+fn answer_ms() -> u64 {
+    1_000
+}
+
+fn fan_out() -> usize {
+    256
+}
+
+impl Agent {
+    /// [`Agent::heartbeat_ms`] as a time.
+    #[must_use]
+    pub fn heartbeat(&self) -> Duration {
+        Duration::from_millis(self.heartbeat_ms)
+    }
+
+    /// [`Agent::answer_ms`] as a time.
+    #[must_use]
+    pub fn answer(&self) -> Duration {
+        Duration::from_millis(self.answer_ms)
+    }
+}
+
+/// A file that can't be used.
+#[derive(Debug)]
+pub enum BadFile {
+    /// It can't be read.
+    Unreadable(PathBuf, std::io::Error),
+    /// It is not TOML, or a key is unknown, missing or of the wrong kind: the text names line and key.
+    Toml(PathBuf, String),
+    /// Values that don't fit: key and what is wanted, for each.
+    Values(PathBuf, Vec<(String, String)>),
+}
+
+impl fmt::Display for BadFile {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            BadFile::Unreadable(path, e) => write!(f, "{}: {e}", path.display()),
+            BadFile::Toml(path, e) => write!(f, "{}: {}", path.display(), e.trim_end()),
+            BadFile::Values(path, all) => {
+                let lines = all.iter().map(|(key, wanted)| format!("{}: {key}: {wanted}", path.display()));
+                write!(f, "{}", lines.collect::<Vec<_>>().join("\n"))
+            }
+        }
+    }
+}
+
+impl std::error::Error for BadFile {}
+
+impl Operator {
+    /// Reads and checks a file.
+    ///
+    /// # Errors
+    /// A [`BadFile`] that names the file and, where it can be, line and key.
+    pub fn read(path: &Path) -> Result<Operator, BadFile> {
+        let text = std::fs::read_to_string(path).map_err(|e| BadFile::Unreadable(path.to_path_buf(), e))?;
+        Operator::parse(path, &text)
+    }
+
+    /// Reads and checks a file's text; `path` only names it.
+    ///
+    /// # Errors
+    /// As [`Operator::read`].
+    pub fn parse(path: &Path, text: &str) -> Result<Operator, BadFile> {
+        let file: Operator =
+            toml::from_str(text).map_err(|e| BadFile::Toml(path.to_path_buf(), e.to_string()))?;
+        let wrong = file.wrong();
+        if wrong.is_empty() {
+            Ok(file)
+        } else {
+            Err(BadFile::Values(path.to_path_buf(), wrong))
+        }
+    }
+
+    fn wrong(&self) -> Vec<(String, String)> {
+        let mut wrong = Vec::new();
+        let mut say = |key: &str, wanted: &str| wrong.push((key.to_string(), wanted.to_string()));
+        if let Some(admin) = &self.admin {
+            // Danger: whoever reaches the port orders drains.
+            if admin.listen.is_tcp() && admin.tls.is_none() {
+                say(
+                    "admin.listen",
+                    "TCP needs [admin.tls]; or name a Unix socket, as in unix:/run/{name}.sock",
+                );
+            }
+        }
+        if let Some(agent) = &self.agent {
+            if agent.listen.is_tcp() {
+                say("agent.listen", "a Unix socket is wanted, as in unix:/run/agent.sock");
+            }
+            if !(0.0..=1.0).contains(&agent.least_ready) {
+                say("agent.least_ready", "0 to 1 is wanted");
+            }
+            if !(50..=60_000).contains(&agent.heartbeat_ms) {
+                say("agent.heartbeat_ms", "50 to 60000 is wanted");
+            }
+            if !(10..=60_000).contains(&agent.answer_ms) {
+                say("agent.answer_ms", "10 to 60000 is wanted");
+            }
+            if !(1..=4_096).contains(&agent.fan_out) {
+                say("agent.fan_out", "1 to 4096 is wanted");
+            }
+        }
+        if self.gateways.len() > GATEWAYS_MOST {
+            say("gateway", "too many; 10000 at most");
+        }
+        let mut names = BTreeSet::new();
+        let tls = self.agent.as_ref().is_some_and(|a| a.tls.is_some());
+        for (i, gateway) in self.gateways.iter().enumerate() {
+            if !names.insert(&gateway.name) {
+                say(&format!("gateway[{i}].name"), "named twice");
+            }
+            if gateway.admin.is_tcp() && !tls {
+                say(&format!("gateway[{i}].admin"), "TCP needs [agent.tls]");
+            }
+        }
+        wrong
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn parse(text: &str) -> Result<Operator, String> {
+        Operator::parse(Path::new("operator.toml"), text).map_err(|e| e.to_string())
+    }
+
+    #[test]
+    fn the_file_that_is_shipped_is_good() {
+        let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/operator.toml");
+        let file = Operator::read(&path).expect("good");
+        assert!(file.admin.is_some() && file.agent.is_some());
+    }
+
+    #[test]
+    fn defaults_are_filled_in_and_an_empty_file_turns_nothing_on() {
+        assert_eq!(parse(""), Ok(Operator::default()));
+        let file = parse("[agent]\nlisten = \"unix:/a\"\nlog = \"/b\"").expect("good");
+        assert_eq!(file.agent.expect("an agent").heartbeat_ms, 1_000);
+    }
+
+    #[test]
+    fn what_is_wrong_is_named_by_line_and_key() {
+        let cases = [
+            ("[admin]\nlisten = \"tcp:127.0.0.1:7\"", "admin.listen: TCP needs [admin.tls]"),
+            ("[admin]\nlisten = \"/a\"", "line 2"),
+            ("[admin]\nlisen = \"unix:/a\"", "unknown field `lisen`"),
+            ("[admin]\n", "missing field `listen`"),
+            ("[agent]\nlisten = \"unix:/a\"\nlog = 7", "line 3"),
+            ("[agent]\nlisten = \"tcp:127.0.0.1:7\"\nlog = \"/b\"", "agent.listen: a Unix socket"),
+            ("[agent]\nlisten = \"unix:/a\"\nlog = \"/b\"\nleast_ready = 2.0", "agent.least_ready: 0 to 1"),
+            ("[agent]\nlisten = \"unix:/a\"\nlog = \"/b\"\nfan_out = 0", "agent.fan_out: 1 to 4096"),
+            ("[[gateway]]\nname = \"a\"\nadmin = \"tcp:127.0.0.1:7\"", "gateway[0].admin: TCP needs"),
+            ("[adm", "line 1"),
+        ];
+        for (text, said) in cases {
+            let error = parse(text).expect_err(text);
+            assert!(error.contains(said) && error.starts_with("operator.toml"), "{text}: {error}");
+        }
+        let twice = "[[gateway]]\nname = \"a\"\nadmin = \"unix:/a\"\n";
+        assert!(parse(&twice.repeat(2)).expect_err("twice").contains("gateway[1].name"));
+    }
+}
--- a/crates/slatelock/src/control.rs
+++ b/crates/slatelock/src/control.rs
@@ -72,11 +72,11 @@
 /// Decides for one gateway.
 #[derive(Debug)]
 pub struct Gateway {
-    settings: Settings,
+    pub(crate) settings: Settings,
     born: f64,
     rng: u64,
     requests: HashMap<u64, Held>,
-    customers: HashMap<u64, Customer>,
+    pub(crate) customers: HashMap<u64, Customer>,
     sweep: VecDeque<u64>,
     calls: HashMap<u64, VecDeque<Call>>,
     /// Chance of calls to the counter: less while they fail or wait.
@@ -85,7 +85,7 @@
     call_eased: f64,
     call_changed: f64,
     call_least: f64,
-    backends: Vec<Backend>,
+    pub(crate) backends: Vec<Backend>,
     /// Units of requests that came.
     mean_units: Ratio,
     class_latency: Vec<Ratio>,
@@ -535,7 +535,7 @@
     }
 
     /// Surely warm part of the capacity at `now`.
-    fn warmth(&self, now: f64, s: &Settings) -> f64 {
+    pub(crate) fn warmth(&self, now: f64, s: &Settings) -> f64 {
         let slow = &s.slow_start;
         if self.started <= 0.0 || slow.warm_up_ms <= 0.0 {
             return 1.0;
@@ -646,8 +646,9 @@
         let ejected = ready().filter(|b| b.ejected).count() as f64;
         let ignore_ejection = ejected > ready().count() as f64 * EJECT_PART;
         let warm = self.backends.iter().filter(|b| b.warmth(now, &self.settings) >= 1.0);
-        let (sum, count) = warm.fold((0.0, 0.0), |(s, n), b| (s + b.pushed(now, &self.settings), n + 1.0));
-        let warm_push = sum / f64::max(count, 1.0);
+        let add = |(s, n), b: &Backend| (s + b.pushed(now, &self.settings), n + b.entry.share);
+        let (sum, count) = warm.fold((0.0, 0.0), add);
+        let warm_push = sum / if count > 0.0 { count } else { 1.0 };
         let mut best: Option<(usize, f64, f64)> = None;
         for i in 0..self.backends.len() {
             let noise = 1.0 + NOISE * roll(&mut self.rng);
@@ -670,9 +671,11 @@
             let fresh = (-(now - b.reported) / self.longest(|c| c.deadline_ms)).exp();
             let waiting = self.fleet.queue + (b.waiting - self.fleet.queue) * fresh;
             let load = (b.out * f64::from(self.settings.gateways)).max(b.out + waiting) + AT_ONCE;
+            // An operator's weight: beyond its share of what others get, it comes last.
+            let sated = b.entry.share < 1.0 && b.pushed(now, &self.settings) > b.entry.share * warm_push;
             let crosses = f64::from(u8::from(b.entry.zone != self.settings.zone));
             let turned_away = marks.iter().all(|m| b.full.get(*m).is_some_and(|at| now - at < avoid));
-            let bad = tried || b.ejected || turned_away;
+            let bad = tried || b.ejected || turned_away || sated;
             let doubt = if bad { EJECT.1 } else { 1.0 } * (1.0 - b.failures.min(0.9));
             let dear = 1.0 + crosses * self.settings.cross_zone_cost;
             let score = if lucky && warmth < 1.0 { 0.0 } else { slowness * load * noise * dear / doubt };
--- a/crates/slatelock/src/interface.rs
+++ b/crates/slatelock/src/interface.rs
@@ -236,7 +236,7 @@
 }
 
 /// A line of the list of backends.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct BackendEntry {
     /// Its number.
     pub id: u32,
@@ -250,6 +250,15 @@
     pub started_ms: f64,
     /// Its registered size against the others', where known.
     pub weight: f64,
+    /// Its share of new work against those of share 1, as operators want it: above 0, at most 1.
+    pub share: f64,
+}
+
+impl Default for BackendEntry {
+    fn default() -> Self {
+        let (state, started_ms, weight, share) = (Readiness::Ready, 0.0, 0.0, 1.0);
+        BackendEntry { id: 0, state, cell: 0, zone: 0, started_ms, weight, share }
+    }
 }
 
 /// How a list event is to be read.
--- a/crates/slatelock/src/lib.rs
+++ b/crates/slatelock/src/lib.rs
@@ -9,5 +9,7 @@
 #[cfg(feature = "settings")]
 pub mod settings;
 mod state;
+mod view;
 
 pub use control::Gateway;
+pub use view::BackendView;
--- /dev/null
+++ b/crates/slatelock/src/view.rs
@@ -0,0 +1,32 @@
+//! What a gateway knows, to be looked at. Nothing is decided here, and nothing changed.
+
+use crate::control::Gateway;
+use crate::interface::Readiness;
+
+/// A backend as the gateway knows it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BackendView {
+    /// Its number.
+    pub id: u32,
+    /// It gets no work, as it failed or fell silent.
+    pub ejected: bool,
+    /// Part of its capacity that it is taken to have, above 0, at most 1.
+    pub warmth: f64,
+}
+
+impl Gateway {
+    /// The backends on the list, in the order of their numbers, at `now` (ms, the caller's clock).
+    pub fn backends(&self, now: f64) -> impl Iterator<Item = BackendView> + '_ {
+        let listed = self.backends.iter().filter(|b| b.entry.state != Readiness::Gone);
+        listed.map(move |b| {
+            let warmth = b.warmth(now, &self.settings);
+            BackendView { id: b.entry.id, ejected: b.ejected, warmth }
+        })
+    }
+
+    /// Customers whose store is held.
+    #[must_use]
+    pub fn customers(&self) -> usize {
+        self.customers.len()
+    }
+}
--- /dev/null
+++ b/crates/slatelock/tests/shares.rs
@@ -0,0 +1,52 @@
+//! Operators' weights: a backend's share of new work.
+
+#[path = "support/mod.rs"]
+mod support;
+
+use slatelock::interface::*;
+use support::*;
+
+/// Requests that each of ten backends gets while so many are out on each at any time, where the first one
+/// has a share of a quarter.
+fn spread(out: usize) -> Vec<usize> {
+    let mut rig = Rig::new(settings(), 10);
+    let mut entries = backends(10);
+    entries[0].share = 0.25;
+    rig.on(Event::Backends { scope: ListScope::Full, entries: &entries });
+    let (mut got, mut open) = (vec![0; 10], std::collections::VecDeque::new());
+    for id in 0..8_000 {
+        rig.now += 1.0;
+        if let Some(to) = sent_to(&rig.ask(request(id, 0, 3, 1.0))) {
+            got[to as usize] += 1;
+            open.push_back((id, to));
+        }
+        while open.len() > out * 10 {
+            let (id, to) = open.pop_front().expect("some");
+            rig.end(id, 0, to, Outcome::Ok);
+        }
+    }
+    got
+}
+
+#[test]
+fn a_share_of_a_quarter_gets_about_a_quarter_of_the_work_idle_or_loaded() {
+    for out in [0, 1, 4] {
+        let got = spread(out);
+        let others: usize = got[1..].iter().sum();
+        let part = got[0] as f64 / (others as f64 / 9.0);
+        assert!(others > 6_000, "{got:?}");
+        assert!((0.15..0.35).contains(&part), "{out} out: {part} of {got:?}");
+    }
+}
+
+#[test]
+fn a_small_share_is_no_drain_where_nobody_else_is_left() {
+    let mut rig = Rig::new(settings(), 1);
+    let mut entries = backends(1);
+    entries[0].share = 0.0001;
+    rig.on(Event::Backends { scope: ListScope::Full, entries: &entries });
+    for id in 0..50 {
+        assert_eq!(sent_to(&rig.ask(request(id, 0, 3, 1.0))), Some(0));
+        rig.end(id, 0, 0, Outcome::Ok);
+    }
+}
