--- /dev/null
+++ b/crates/testbed/src/client.rs
@@ -0,0 +1,240 @@
+//! Clients: a steady load over all gateways, open loop, with the final answer of each request noted.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::BytesMut;
+use hdrhistogram::Histogram;
+use redis_protocol::resp2::types::BytesFrame;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::{interval, timeout, Instant, MissedTickBehavior};
+
+use crate::journal::{Answer, Class, Event, Journal};
+use crate::platform::{CLASSES, DEADLINE_MS, PLANS};
+use crate::resp;
+use crate::Dice;
+
+/// How long past its deadline a request may stay without an answer before it counts as lost.
+const GRACE: Duration = Duration::from_millis(1_500);
+/// Requests of one load that may be open; more are not begun, and counted as held back.
+const OPEN_MOST: usize = 512;
+/// Connections to one gateway that are kept while nothing is open on them.
+const IDLE_MOST: usize = 64;
+
+/// What a load asks.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Requests a second, over all gateways.
+    pub rate: f64,
+    /// Customers that they belong to.
+    pub customers: u64,
+    /// Part of the requests that belong to the plan with a quota.
+    pub paid: f64,
+    /// Weights of the classes safe, keyed and unsafe.
+    pub classes: [u64; 3],
+    /// The seed of customers and classes.
+    pub seed: u64,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Plan { rate: 100.0, customers: 200, paid: 0.2, classes: [5, 2, 3], seed: 1 }
+    }
+}
+
+/// Answers so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// Requests that were begun.
+    pub asked: u64,
+    /// Served with a value.
+    pub served: u64,
+    /// Refused.
+    pub refused: u64,
+    /// Failed, or no gateway took it.
+    pub failed: u64,
+    /// Without a whole answer, or with an odd one.
+    pub lost: u64,
+    /// Not begun, as too many were open.
+    pub held_back: u64,
+}
+
+#[derive(Debug, Default)]
+struct Counts {
+    asked: AtomicU64,
+    served: AtomicU64,
+    refused: AtomicU64,
+    failed: AtomicU64,
+    lost: AtomicU64,
+    held_back: AtomicU64,
+    open: AtomicUsize,
+}
+
+/// A load over some gateways.
+#[derive(Clone, Debug)]
+pub struct Load {
+    gateways: Arc<Vec<SocketAddr>>,
+    idle: Arc<Vec<Mutex<Vec<TcpStream>>>>,
+    counts: Arc<Counts>,
+    latencies: Arc<Mutex<Histogram<u64>>>,
+    journal: Journal,
+    /// Requests of all loads are numbered from here.
+    first_id: u64,
+}
+
+impl Load {
+    /// A load over gateways at these addresses. Ids of requests begin at `first_id`: those of two loads must
+    /// not meet.
+    #[must_use]
+    pub fn new(gateways: Vec<SocketAddr>, first_id: u64, journal: Journal) -> Load {
+        let idle = gateways.iter().map(|_| Mutex::default()).collect();
+        let (gateways, idle) = (Arc::new(gateways), Arc::new(idle));
+        // Microseconds, up to a minute, to three digits.
+        let latencies =
+            Histogram::new_with_max(60_000_000, 3).unwrap_or_else(|_| unreachable!("good bounds"));
+        let latencies = Arc::new(Mutex::new(latencies));
+        Load { gateways, idle, counts: Arc::default(), latencies, journal, first_id }
+    }
+
+    /// Answers so far.
+    #[must_use]
+    pub fn tally(&self) -> Tally {
+        let get = |n: &AtomicU64| n.load(Ordering::Relaxed);
+        let c = &self.counts;
+        Tally {
+            asked: get(&c.asked),
+            served: get(&c.served),
+            refused: get(&c.refused),
+            failed: get(&c.failed),
+            lost: get(&c.lost),
+            held_back: get(&c.held_back),
+        }
+    }
+
+    /// Latency of what was served, ms, at a quantile from 0 to 1; 0 before any was.
+    #[must_use]
+    pub fn latency_ms(&self, quantile: f64) -> f64 {
+        let latencies = self.latencies.lock().unwrap_or_else(PoisonError::into_inner);
+        latencies.value_at_quantile(quantile) as f64 / 1000.0
+    }
+
+    /// Asks by the plan until `end`, then waits for the last answers. Cancelling begins nothing more, and
+    /// what is open goes on.
+    pub async fn run(&self, plan: &Plan, end: impl std::future::Future<Output = ()>) {
+        let mut dice = Dice::new(plan.seed);
+        let mut tick = interval(Duration::from_secs_f64(1.0 / plan.rate.max(0.1)));
+        tick.set_missed_tick_behavior(MissedTickBehavior::Burst);
+        let mut tasks = tokio::task::JoinSet::new();
+        tokio::pin!(end);
+        let mut at = 0;
+        loop {
+            tokio::select! {
+                () = &mut end => break,
+                _ = tick.tick() => {}
+                Some(_) = tasks.join_next(), if !tasks.is_empty() => continue,
+            }
+            if self.counts.open.load(Ordering::Relaxed) >= OPEN_MOST {
+                self.counts.held_back.fetch_add(1, Ordering::Relaxed);
+                continue;
+            }
+            let all: u64 = plan.classes.iter().sum();
+            let mut draw = dice.below(all);
+            let class = plan.classes.iter().position(|w| {
+                let here = draw < *w;
+                draw = draw.saturating_sub(*w);
+                here
+            });
+            let customer = dice.below(plan.customers.max(1));
+            let paid = dice.part() < plan.paid;
+            let id = self.first_id + self.counts.asked.fetch_add(1, Ordering::Relaxed);
+            let (gateway, class) = (at % self.gateways.len().max(1), class.unwrap_or(0));
+            at += 1;
+            let load = self.clone();
+            tasks.spawn(async move { load.one(gateway, id, customer, class, usize::from(paid)).await });
+        }
+        while tasks.join_next().await.is_some() {}
+    }
+
+    /// Asks one request and gives its answer.
+    pub async fn one(&self, gateway: usize, id: u64, customer: u64, class: usize, plan: usize) -> Answer {
+        self.counts.open.fetch_add(1, Ordering::Relaxed);
+        let customer = customer + 1 + ((plan as u64) << 24);
+        let kind = [Class::Safe, Class::Keyed, Class::Unsafe][class.min(2)];
+        let key = if kind == Class::Keyed { format!(",k={id:016x}") } else { String::new() };
+        let (name, tariff, all) = (CLASSES[class.min(2)], PLANS[plan.min(1)], self.gateways.len());
+        let terms = format!("c={name},t={tariff},d={DEADLINE_MS}{key},units=1,spread={all},first=0");
+        let verb = if kind == Class::Safe { "API.READ" } else { "API.WRITE" };
+        let (customer_word, id_word) = (format!("{customer:016x}"), format!("{id:016x}"));
+        let mut words = vec![verb, &customer_word, &id_word, &terms];
+        if kind != Class::Safe {
+            words.push("body");
+        }
+        let command = resp::command(&words);
+        self.journal.note(Event::Asked { id, customer, class: kind, units: 1.0, gateway });
+        let began = Instant::now();
+        let most = Duration::from_secs_f64(DEADLINE_MS / 1000.0) + GRACE;
+        let answer = timeout(most, self.exchange(gateway, &command, id)).await.unwrap_or(Answer::Lost);
+        let count = match answer {
+            Answer::Served => &self.counts.served,
+            Answer::Refused(_) => &self.counts.refused,
+            Answer::Failed | Answer::Unreached => &self.counts.failed,
+            Answer::Lost | Answer::Odd => &self.counts.lost,
+        };
+        count.fetch_add(1, Ordering::Relaxed);
+        if answer == Answer::Served {
+            let micros = began.elapsed().as_micros() as u64;
+            self.latencies.lock().unwrap_or_else(PoisonError::into_inner).saturating_record(micros);
+        }
+        self.journal.note(Event::Answered { id, answer: answer.clone() });
+        self.counts.open.fetch_sub(1, Ordering::Relaxed);
+        answer
+    }
+
+    async fn exchange(&self, gateway: usize, command: &[u8], id: u64) -> Answer {
+        let idle = self.idle[gateway].lock().unwrap_or_else(PoisonError::into_inner).pop();
+        // A kept connection that the gateway closes as the request crosses has not read it: once more, on a
+        // new one.
+        if let Some(stream) = idle {
+            if let Some(answer) = self.talk(gateway, stream, command, id).await {
+                return answer;
+            }
+        }
+        // A gateway that is down or drained refuses the connection: the front goes on to the next.
+        for next in 0..self.gateways.len() {
+            let place = (gateway + next) % self.gateways.len();
+            if let Ok(stream) = TcpStream::connect(self.gateways[place]).await {
+                let _ = stream.set_nodelay(true);
+                return self.talk(place, stream, command, id).await.unwrap_or(Answer::Lost);
+            }
+        }
+        // Nobody took it, so there is nothing that could be lost.
+        Answer::Unreached
+    }
+
+    /// `None` if the connection ended with no byte of an answer.
+    async fn talk(&self, gateway: usize, mut stream: TcpStream, command: &[u8], id: u64) -> Option<Answer> {
+        stream.write_all(command).await.ok()?;
+        let mut buffer = BytesMut::new();
+        let Some(message) = resp::read(&mut stream, &mut buffer).await else {
+            return if buffer.is_empty() { None } else { Some(Answer::Odd) };
+        };
+        let answer = match message.frame {
+            BytesFrame::BulkString(value) if value[..] == *format!("{id:016x}").as_bytes() => Answer::Served,
+            BytesFrame::Error(line) => match line.split_once(' ') {
+                None if &*line == "BUSY" => Answer::Refused(None),
+                Some(("BUSY", ms)) => ms.parse().map_or(Answer::Odd, |ms| Answer::Refused(Some(ms))),
+                Some(("ERR", _)) => Answer::Failed,
+                _ => Answer::Odd,
+            },
+            _ => Answer::Odd,
+        };
+        let mut idle = self.idle[gateway].lock().unwrap_or_else(PoisonError::into_inner);
+        if buffer.is_empty() && idle.len() < IDLE_MOST {
+            idle.push(stream);
+        }
+        Some(answer)
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/resp.rs
@@ -0,0 +1,48 @@
+//! RESP2 as the stand-ins need it.
+
+use std::time::{Duration, Instant};
+
+use bytes::BytesMut;
+use redis_protocol::resp2::decode::decode_bytes_mut;
+use redis_protocol::resp2::types::BytesFrame;
+use tokio::io::{AsyncRead, AsyncReadExt};
+
+/// The longest message that a stand-in takes.
+const MESSAGE_MOST: usize = 256 * 1024;
+
+/// A message, and how long before its end its first byte came.
+pub(crate) struct Message {
+    pub(crate) frame: BytesFrame,
+    pub(crate) took: Duration,
+}
+
+/// Reads the next message; `None` at the end of the connection or at what is no message.
+pub(crate) async fn read(from: &mut (impl AsyncRead + Unpin), buffer: &mut BytesMut) -> Option<Message> {
+    let mut began = (!buffer.is_empty()).then(Instant::now);
+    loop {
+        if let Some((frame, _, _)) = decode_bytes_mut(buffer).ok()? {
+            return Some(Message { frame, took: began.map_or(Duration::ZERO, |b| b.elapsed()) });
+        }
+        if buffer.len() > MESSAGE_MOST || from.read_buf(buffer).await.ok()? == 0 {
+            return None;
+        }
+        began = began.or_else(|| Some(Instant::now()));
+    }
+}
+
+/// The words of a command; `None` if it is none.
+pub(crate) fn words(frame: BytesFrame) -> Option<Vec<String>> {
+    let BytesFrame::Array(parts) = frame else { return None };
+    let word = |part| match part {
+        BytesFrame::BulkString(bytes) => String::from_utf8(bytes.to_vec()).ok(),
+        _ => None,
+    };
+    parts.into_iter().map(word).collect()
+}
+
+/// A command as bytes.
+pub(crate) fn command(words: &[&str]) -> Vec<u8> {
+    let mut bytes = format!("*{}\r\n", words.len());
+    words.iter().for_each(|w| bytes += &format!("${}\r\n{w}\r\n", w.len()));
+    bytes.into_bytes()
+}
