--- /dev/null
+++ b/crates/agent/src/lib.rs
@@ -0,0 +1,106 @@
+//! The agent: holds what operators want, and has every gateway carry it out.
+//!
+//! ```text
+//!  tools ── tools.rs ─ Asked ─▶ owner.rs ─ append ─▶ log.rs (redb, on the disk before anybody is told)
+//!                ◀──── Say ──────────     │  book.rs: repeat, refuse or write   views.rs: what gateways list
+//!                                         ▼ watch: Published
+//!                       link.rs, one for each gateway ── adopt, apply, state ──▶ admin listener
+//!                                         └─ Report ─▶ owner.rs
+//! ```
+//!
+//! An order is acknowledged once it is on the disk, and only then published to the links. An agent that is
+//! killed begins again with the log: what was acknowledged is in it, and what is not in it no gateway was
+//! told. A link begins each connection with the whole state, so gateways that were away converge by
+//! themselves. Without an agent, gateways go on with the last state that they had.
+
+mod book;
+mod link;
+mod log;
+mod owner;
+mod tools;
+mod views;
+
+use std::fmt;
+use std::sync::Arc;
+
+use beechrudder_channel::{BindError, Dialer, Listener, TlsError};
+use beechrudder_fleet::wire::TOOL_LINE_MOST;
+use beechrudder_fleet::{BadName, Name};
+use beechrudder_operator::{Agent, Gateway};
+use tokio::sync::{broadcast, mpsc, watch, Semaphore};
+
+pub use log::{Contents, Log, LogError, ORDERS_KEPT};
+
+/// Inputs that may wait for the owner; who brings more waits.
+const INBOX: usize = 4_096;
+/// Events that a watcher may be behind before it misses some.
+const EVENTS: usize = 1_024;
+
+/// Why an agent can't run.
+#[derive(Debug)]
+pub enum AgentError {
+    /// Its log can't be used.
+    Log(LogError),
+    /// Its socket can't be had.
+    Bind(BindError),
+    /// Its certificates can't be used.
+    Tls(TlsError),
+    /// A gateway in the operator's file has a name that can't be one.
+    Name(BadName),
+}
+
+impl fmt::Display for AgentError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            AgentError::Log(e) => e.fmt(f),
+            AgentError::Bind(e) => e.fmt(f),
+            AgentError::Tls(e) => e.fmt(f),
+            AgentError::Name(e) => write!(f, "gateway: {e}"),
+        }
+    }
+}
+
+impl std::error::Error for AgentError {}
+
+/// Oversees gateways until `end` is over.
+///
+/// Cancelling ends it as a kill would: nothing that was acknowledged is lost.
+///
+/// # Errors
+/// An [`AgentError`], at the start or once the log can't be written.
+pub async fn run(
+    config: &Agent,
+    gateways: &[Gateway],
+    ready: impl FnOnce(),
+    end: impl std::future::Future<Output = ()>,
+) -> Result<(), AgentError> {
+    let dialer = Dialer::new(config.tls.as_ref()).map_err(AgentError::Tls)?;
+    let named = |g: &Gateway| Ok((g.name.parse::<Name>()?, g.admin.clone()));
+    let fixed = gateways.iter().map(named).collect::<Result<Vec<_>, BadName>>().map_err(AgentError::Name)?;
+    // The log first: two agents on one log end here, before either speaks.
+    let (log, contents) = Log::open(&config.log).map_err(AgentError::Log)?;
+    let listener = Listener::bind(&config.listen, None, TOOL_LINE_MOST).await.map_err(AgentError::Bind)?;
+    let (published, receiver) = watch::channel(link::Published::default());
+    let (reports, told) = mpsc::channel(INBOX);
+    let (inbox, inputs) = mpsc::channel(INBOX);
+    let events = broadcast::Sender::new(EVENTS);
+    let shared = link::Shared {
+        dialer,
+        heartbeat: config.heartbeat(),
+        answer: config.answer(),
+        fan_out: Arc::new(Semaphore::new(config.fan_out)),
+        calls: Arc::new(Semaphore::new(link::CALLS_MOST)),
+        published: receiver,
+        reports,
+    };
+    let owner =
+        owner::Owner::new(log, contents, fixed, config.least_ready, published, shared, events.clone());
+    let tools = tokio::spawn(tools::serve(listener, inbox, events));
+    ready();
+    let result = tokio::select! {
+        result = owner.run(inputs, told) => result.map_err(AgentError::Log),
+        () = end => Ok(()),
+    };
+    tools.abort();
+    result
+}
--- /dev/null
+++ b/crates/agent/src/tools.rs
@@ -0,0 +1,115 @@
+//! The listener for tools. Each connection asks one thing after the other.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use beechrudder_channel::{LineError, Lines, Listener};
+use beechrudder_fleet::wire::{Ask, Code, Fault, Numbered, Say};
+use tokio::sync::{broadcast, mpsc, Semaphore};
+use tokio::time::{sleep, timeout};
+
+use crate::owner::Asked;
+
+/// Connections at once; further ones wait in the listener's line.
+const CONNECTIONS_MOST: usize = 256;
+/// How long a connection may say nothing between its questions.
+const QUIET_MOST: Duration = Duration::from_secs(60);
+/// How long a line may take to be written. Danger: a tool that reads nothing.
+const WRITE_MOST: Duration = Duration::from_secs(10);
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Things that may be on their way to one tool: what all gateways did, and more.
+const SAY_MOST: usize = beechrudder_operator::GATEWAYS_MOST + 16;
+
+/// Takes connections until the task ends.
+pub async fn serve(listener: Listener, inputs: mpsc::Sender<Asked>, events: broadcast::Sender<String>) {
+    let places = Arc::new(Semaphore::new(CONNECTIONS_MOST));
+    loop {
+        let Ok(place) = Arc::clone(&places).acquire_owned().await else { return };
+        let arrival = match listener.accept().await {
+            Ok(arrival) => arrival,
+            Err(_) => {
+                sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let (inputs, events) = (inputs.clone(), events.clone());
+        tokio::spawn(async move {
+            match arrival.open().await {
+                Ok(mut lines) => {
+                    // Whatever ends the connection, there is nobody left to tell.
+                    let _ = talk(&mut lines, &inputs, &events).await;
+                }
+                Err(e) => eprintln!("beechrudder-agent: turned away: {e}"),
+            }
+            drop(place);
+        });
+    }
+}
+
+/// The connection is of no more use.
+struct Over;
+
+async fn talk(
+    lines: &mut Lines,
+    inputs: &mpsc::Sender<Asked>,
+    events: &broadcast::Sender<String>,
+) -> Result<(), Over> {
+    loop {
+        let Numbered { n, body } = match timeout(QUIET_MOST, lines.next::<Numbered<Ask>>()).await {
+            Ok(Ok(Some(asked))) => asked,
+            Ok(Err(LineError::Unreadable(why))) => {
+                say(lines, 0, Say::Fault(Fault::new(Code::BadRequest, why))).await?;
+                continue;
+            }
+            Ok(Err(e @ LineError::TooLong(_))) => {
+                return say(lines, 0, Say::Fault(Fault::new(Code::TooLong, e.to_string()))).await;
+            }
+            Ok(Ok(None) | Err(LineError::Broken(_))) | Err(_) => return Err(Over),
+        };
+        if matches!(body, Ask::Watch) {
+            return watch(lines, n, events.subscribe()).await;
+        }
+        // What is last said of an order, or of all backends, is Done; of all else there is one thing to say.
+        let many = matches!(body, Ask::Order { .. } | Ask::Status { backends: true });
+        let (sender, mut said) = mpsc::channel(if many { SAY_MOST } else { 1 });
+        if inputs.send(Asked { ask: body, say: sender }).await.is_err() {
+            return say(lines, n, Say::Fault(Fault::new(Code::Unavailable, "the agent is ending"))).await;
+        }
+        loop {
+            let Some(what) = said.recv().await else {
+                // The agent is ending, or could not write its log.
+                return Err(Over);
+            };
+            let last = !many || matches!(what, Say::Done(_) | Say::Fault(_));
+            say(lines, n, what).await?;
+            if last {
+                break;
+            }
+        }
+    }
+}
+
+async fn watch(lines: &mut Lines, n: u64, mut events: broadcast::Receiver<String>) -> Result<(), Over> {
+    say(lines, n, Say::Event("watching".to_string())).await?;
+    loop {
+        tokio::select! {
+            event = events.recv() => match event {
+                Ok(line) => say(lines, n, Say::Event(line)).await?,
+                Err(broadcast::error::RecvError::Lagged(missed)) => {
+                    say(lines, n, Say::Event(format!("{missed} events were missed"))).await?;
+                }
+                Err(broadcast::error::RecvError::Closed) => return Err(Over),
+            },
+            // Nothing more is asked on it; its end is told like this.
+            _ = lines.next::<Numbered<Ask>>() => return Err(Over),
+        }
+    }
+}
+
+async fn say(lines: &mut Lines, n: u64, what: Say) -> Result<(), Over> {
+    match timeout(WRITE_MOST, lines.send(&Numbered { n, body: what })).await {
+        Ok(Ok(())) => Ok(()),
+        _ => Err(Over),
+    }
+}
--- /dev/null
+++ b/crates/beechrudder/src/cli.rs
@@ -0,0 +1,214 @@
+//! What can be written on the command line.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use beechrudder_fleet::{Name, OrderId, Subject};
+use beechrudder_operator::Address;
+use clap::{Args, Parser, Subcommand, ValueEnum};
+
+use crate::exit::CODES;
+
+/// Oversees a fleet of admission gateways.
+#[derive(Debug, Parser)]
+#[command(name = "beechrudder", version, after_help = CODES, propagate_version = true)]
+pub struct Cli {
+    /// Where the agent listens
+    #[arg(long, global = true, env = "BEECHRUDDER_AGENT", value_name = "unix:PATH")]
+    #[arg(default_value = "unix:/run/beechrudder/agent.sock")]
+    pub agent: Address,
+    /// For people or for programs
+    #[arg(long, short, global = true, value_enum, default_value_t = Output::Table)]
+    pub output: Output,
+    #[command(subcommand)]
+    pub command: Command,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum Output {
+    /// Tables
+    Table,
+    /// JSON, one object a line
+    Json,
+}
+
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Start stand-ins, gateways and an agent on this machine, until Ctrl-C
+    Up(Up),
+    /// Say what is wrong with configurations: NAME.toml of operators, NAME.json of a gateway
+    Check {
+        #[arg(required = true, value_name = "FILE")]
+        files: Vec<PathBuf>,
+    },
+    /// Show all gateways, and what is ordered
+    Status(Status),
+    /// Send nothing new to a backend, a group, a type, or through a gateway
+    Drain(Order),
+    /// Take a drain back
+    Undrain(Order),
+    /// Set a backend's share of new work against others of weight 1
+    Weight(Weight),
+    /// Show the orders, newest first
+    Orders {
+        /// How many
+        #[arg(long, short = 'n', default_value_t = 20)]
+        most: usize,
+    },
+    /// Show every change from now on, until Ctrl-C
+    Watch,
+    /// Say which gateways the agent oversees
+    Gateways {
+        #[command(subcommand)]
+        command: Gateways,
+    },
+    /// Run the agent
+    Agent {
+        /// The operator's file
+        #[arg(long, value_name = "FILE")]
+        operator: PathBuf,
+        /// End when standard input ends
+        #[arg(long, hide = true)]
+        until_closed: bool,
+    },
+    /// Run a gateway by the configuration that GW_CONFIG names
+    Gateway {
+        /// The operator's file; without it there is no admin listener
+        #[arg(long, value_name = "FILE")]
+        operator: Option<PathBuf>,
+        /// End when standard input ends
+        #[arg(long, hide = true)]
+        until_closed: bool,
+    },
+    /// Print completions for a shell
+    Completions { shell: clap_complete::Shell },
+    /// Print the man page
+    Man,
+}
+
+#[derive(Debug, Args)]
+pub struct Up {
+    /// Gateways, 1 to 64
+    #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u16).range(1..=64))]
+    pub gateways: u16,
+    /// Backends, 1 to 1000
+    #[arg(long, default_value_t = 6, value_parser = clap::value_parser!(u16).range(1..=1000))]
+    pub backends: u16,
+    /// End after this, as in 10s or 500ms; else at Ctrl-C
+    #[arg(long = "for", value_name = "TIME", value_parser = time)]
+    pub length: Option<Duration>,
+    /// Requests a second over all gateways, 0 to 20000
+    #[arg(long, value_name = "RATE", default_value_t = 100.0, value_parser = rate)]
+    pub load: f64,
+    /// Port of the first gateway, the next has the next; else the system's choice
+    #[arg(long)]
+    pub port: Option<u16>,
+    /// Seed of the load
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+}
+
+#[derive(Debug, Args)]
+pub struct Status {
+    /// Each backend as well, by gateway
+    #[arg(long)]
+    pub backends: bool,
+}
+
+#[derive(Debug, Args)]
+pub struct Order {
+    /// NAME or backend/NAME, group/NUMBER, type/NAME, gateway/NAME
+    pub subject: Subject,
+    #[command(flatten)]
+    pub how: How,
+}
+
+#[derive(Debug, Args)]
+pub struct Weight {
+    /// NAME or backend/NAME
+    pub subject: Subject,
+    /// 0.01 to 100; 1 is as others
+    pub weight: f64,
+    #[command(flatten)]
+    pub how: How,
+}
+
+#[derive(Debug, Args)]
+pub struct How {
+    /// Name of the order: the same again gives the first result and does nothing. Else a new one
+    #[arg(long)]
+    pub id: Option<OrderId>,
+    /// Also where too few would be left, or nobody knows the subject
+    #[arg(long)]
+    pub force: bool,
+    /// How long to wait for the gateways
+    #[arg(long, value_name = "TIME", default_value = "5s", value_parser = time)]
+    pub deadline: Duration,
+    /// Then wait until nothing is in flight at the subject on any gateway that can be reached
+    #[arg(long)]
+    pub wait: bool,
+    /// How long to wait for that
+    #[arg(long, value_name = "TIME", default_value = "60s", value_parser = time)]
+    pub wait_most: Duration,
+}
+
+#[derive(Debug, Subcommand)]
+pub enum Gateways {
+    /// Oversee a gateway from now on
+    Add {
+        /// Its name, as in its configuration
+        name: Name,
+        /// Its admin listener: unix:PATH or tcp:ADDRESS:PORT
+        address: Address,
+    },
+    /// Oversee a gateway no more
+    Remove {
+        /// Its name
+        name: Name,
+    },
+}
+
+/// Reads `10s`, `500ms`, `2m` or a bare number of seconds; at most a day.
+fn time(text: &str) -> Result<Duration, String> {
+    let (number, unit) = match text.find(|c: char| c.is_ascii_alphabetic()) {
+        Some(at) => text.split_at(at),
+        None => (text, "s"),
+    };
+    let each = match unit {
+        "ms" => 0.001,
+        "s" => 1.0,
+        "m" => 60.0,
+        "h" => 3_600.0,
+        _ => return Err("a time is wanted, as in 500ms, 10s or 2m".to_string()),
+    };
+    match number.parse::<f64>() {
+        Ok(n) if n >= 0.0 && n * each <= 86_400.0 => Ok(Duration::from_secs_f64(n * each)),
+        _ => Err("a time is wanted, as in 500ms, 10s or 2m, of a day at most".to_string()),
+    }
+}
+
+fn rate(text: &str) -> Result<f64, String> {
+    let rate = text.parse::<f64>().ok().filter(|r| (0.0..=20_000.0).contains(r));
+    rate.ok_or_else(|| "0 to 20000 requests a second are wanted".to_string())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use clap::CommandFactory;
+
+    #[test]
+    fn the_grammar_holds_together() {
+        Cli::command().debug_assert();
+    }
+
+    #[test]
+    fn times_are_read_or_refused() {
+        assert_eq!(time("500ms"), Ok(Duration::from_millis(500)));
+        assert_eq!(time("2m"), Ok(Duration::from_secs(120)));
+        assert_eq!(time("3"), Ok(Duration::from_secs(3)));
+        for bad in ["", "s", "-1s", "1d", "1e9s", "NaN", "inf"] {
+            assert!(time(bad).is_err(), "{bad}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/beechrudder/src/members.rs
@@ -0,0 +1,34 @@
+//! `gateways add` and `gateways remove`.
+
+use std::time::Duration;
+
+use beechrudder_fleet::wire::{Ask, Say};
+use beechrudder_operator::Address;
+use serde_json::json;
+
+use crate::agent::{odd, print, Agent};
+use crate::cli::{Gateways, Output};
+use crate::exit::Failure;
+use crate::table::out;
+
+/// How long the agent may take to answer.
+const ANSWER_MOST: Duration = Duration::from_secs(30);
+
+pub async fn run(address: &Address, command: &Gateways, output: Output) -> Result<(), Failure> {
+    let mut agent = Agent::connect(address).await?;
+    let (ask, name, what) = match command {
+        Gateways::Add { name, address } => {
+            (Ask::Register { name: name.clone(), address: address.to_string() }, name, "overseen")
+        }
+        Gateways::Remove { name } => (Ask::Deregister { name: name.clone() }, name, "overseen no more"),
+    };
+    agent.ask(ask).await?;
+    match agent.hear(ANSWER_MOST).await? {
+        Say::Done(_) if output == Output::Json => print(&json!({"gateway": name, "is": what})),
+        Say::Done(_) => {
+            out(&format!("gateway {name} is {what}\n"));
+            Ok(())
+        }
+        other => Err(odd(&other)),
+    }
+}
--- a/crates/fleet/src/desired.rs
+++ b/crates/fleet/src/desired.rs
@@ -83,6 +83,9 @@
 /// A whole state: every order up to the floor is settled in it, and those after it as far as they are named.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Snapshot {
+    /// The first revision that its writer knows of. It says nothing about orders before that.
+    #[serde(default)]
+    pub since: Revision,
     /// Orders up to this revision that no register names were superseded or hold nothing.
     pub floor: Revision,
     /// What is ordered.
@@ -101,6 +104,7 @@
 /// The state that operators want.
 #[derive(Clone, Debug, Default)]
 pub struct Desired {
+    since: Revision,
     floor: Revision,
     registers: BTreeMap<(Subject, Aspect), Register>,
     /// First results by order, and the orders from the oldest.
@@ -109,6 +113,16 @@
 }
 
 impl Desired {
+    /// A state whose writer knows of no order before `since`.
+    ///
+    /// Danger: a writer that begins anew, as its log is lost, and whose empty state takes back every drain.
+    /// What gateways hold from before stays until an order on the same subject comes. Harm: whoever lost the
+    /// log has to look for such drains.
+    #[must_use]
+    pub fn since(since: Revision) -> Desired {
+        Desired { since, ..Desired::default() }
+    }
+
     /// Takes an order in. The same id again gives the first result and does nothing.
     pub fn apply(&mut self, order: &Order) -> Outcome {
         if let Some(first) = self.results.get(&order.id) {
@@ -158,7 +172,10 @@
         let (before, floor) = (self.snapshot(), self.floor);
         let theirs: BTreeMap<(Subject, Aspect), &Register> =
             snapshot.registers.iter().map(|r| ((r.subject.clone(), r.value.aspect()), r)).collect();
-        self.registers.retain(|key, held| held.revision > snapshot.floor || theirs.get(key) == Some(&&*held));
+        self.registers.retain(|key, held| {
+            let settled = (snapshot.since..=snapshot.floor).contains(&held.revision);
+            !settled || theirs.get(key) == Some(&&*held)
+        });
         for (key, register) in theirs {
             match self.registers.entry(key) {
                 Entry::Occupied(mut held) if register.revision > floor && register.newer(held.get()) => {
@@ -170,7 +187,7 @@
                 _ => {}
             }
         }
-        self.floor = floor.max(snapshot.floor);
+        (self.since, self.floor) = (self.since.max(snapshot.since), floor.max(snapshot.floor));
         if self.registers.len() > REGISTERS_MOST {
             let mut revisions: Vec<Revision> = self.registers.values().map(|r| r.revision).collect();
             revisions.sort_unstable();
@@ -187,16 +204,21 @@
         self.registers.retain(|_, r| !r.value.neutral());
     }
 
-    /// The newest revision seen.
+    /// The newest revision seen; before any, the one that its writer began at.
     #[must_use]
     pub fn revision(&self) -> Revision {
-        self.registers.values().map(|r| r.revision).max().unwrap_or_default().max(self.floor)
+        let newest = self.registers.values().map(|r| r.revision).max().unwrap_or_default();
+        newest.max(self.floor).max(self.since)
     }
 
     /// The whole state.
     #[must_use]
     pub fn snapshot(&self) -> Snapshot {
-        Snapshot { floor: self.floor, registers: self.registers.values().cloned().collect() }
+        Snapshot {
+            since: self.since,
+            floor: self.floor,
+            registers: self.registers.values().cloned().collect(),
+        }
     }
 
     /// What orders make of a backend: drained if any order drains it, its group or its type.
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -187,9 +187,9 @@
         /// How long to wait for the gateways, ms.
         deadline_ms: u64,
     },
-    /// All gateways, and the backends as they see them if wanted.
+    /// All gateways; and each one's backends, asked afresh, if wanted.
     Status {
-        /// Whether backends are wanted.
+        /// Whether backends are wanted. Then [`Say::Backends`] follows for each gateway, and [`Say::Done`].
         #[serde(default)]
         backends: bool,
     },
@@ -233,6 +233,8 @@
     Done(Done),
     /// All gateways.
     Status(Status),
+    /// The backends of one gateway.
+    Backends(Seen),
     /// Orders, newest first.
     Orders(Vec<Logged>),
     /// What is in flight, by gateway.
@@ -288,8 +290,8 @@
     Answered {
         /// What became of the order there; none for a gateway that caught up by the whole state.
         outcome: Outcome,
-        /// Backends on its list that the subject covers.
-        matched: u32,
+        /// Backends on its list that the subject covers, where it said so.
+        matched: Option<u32>,
         /// From the writing down to its answer, ms.
         took_ms: f64,
     },
@@ -358,6 +360,15 @@
     pub state: Option<GatewayState>,
 }
 
+/// The backends of one gateway, as it saw them just now.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Seen {
+    /// The gateway.
+    pub gateway: String,
+    /// Its state with its backends, or why it could not be asked.
+    pub state: Result<GatewayState, String>,
+}
+
 /// Why nothing was done.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Fault {
--- a/crates/fleet/tests/orders.rs
+++ b/crates/fleet/tests/orders.rs
@@ -58,6 +58,24 @@
     assert!(!drained(&state, "s-1"));
 }
 
+#[test]
+fn a_writer_that_lost_its_log_takes_no_drain_back_until_it_is_ordered_anew() {
+    let mut gateway = Desired::default();
+    gateway.apply(&order("old", 7, "s-1", Change::Drain));
+    let mut writer = Desired::since(Revision { term: 2, seq: 0 });
+    let mut newer = order("new", 1, "s-2", Change::Undrain);
+    newer.revision.term = 2;
+    writer.apply(&newer);
+    writer.compact();
+    gateway.adopt(&writer.snapshot());
+    assert!(drained(&gateway, "s-1"));
+    let mut back = order("back", 2, "s-1", Change::Undrain);
+    back.revision.term = 2;
+    writer.apply(&back);
+    gateway.adopt(&writer.snapshot());
+    assert!(!drained(&gateway, "s-1"));
+}
+
 #[test]
 fn a_backend_is_back_only_when_nothing_drains_it() {
     let mut state = Desired::default();
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -1,5 +1,6 @@
 //! The configuration that a gateway starts with.
 
+use std::cell::RefCell;
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -40,27 +41,59 @@
 
     pub fn parse(text: &[u8]) -> Result<Config, SettingsError> {
         let json = settings::from_json("configuration", text)?;
-        let top = Keys::new("configuration", &json);
-        let address = |key: &str| match top.text(key)?.parse() {
-            Ok(address) => Ok(address),
-            Err(_) => Err(top.wrong(key, "an address with a port is wanted")),
+        Config::from(&Keys::new("configuration", &json))
+    }
+
+    /// All that is wrong with a configuration, not the first alone.
+    pub fn wrong(text: &[u8]) -> Vec<SettingsError> {
+        let json = match settings::from_json("configuration", text) {
+            Ok(json) => json,
+            Err(e) => return vec![e],
+        };
+        let all = RefCell::new(Vec::new());
+        let last = Config::from(&Keys::collecting("configuration", &json, &all)).err();
+        let mut all = all.into_inner();
+        // What is found by looking at all of it counts only where its parts are right.
+        if all.is_empty() {
+            all.extend(last);
+        }
+        all
+    }
+
+    fn from(top: &Keys<'_>) -> Result<Config, SettingsError> {
+        let nowhere = SocketAddr::from(([127, 0, 0, 1], 0));
+        let address = |key: &str| {
+            let parsed = top.get(key).and_then(|value| {
+                let parsed = value.as_str().and_then(|text| text.parse().ok());
+                parsed.ok_or_else(|| top.wrong(key, "an address with a port is wanted"))
+            });
+            top.or(parsed, nowhere)
         };
         let told = top.section("settings")?;
         let settings = settings::read(&told)?;
-        settings.check()?;
-        let seed = u64::from_str_radix(top.text("seed")?, 16);
-        let known = List::deserialize(top.get("known")?);
+        // What stands in for a value that is wrong may fit no other.
+        if top.sound() {
+            top.or(settings.check(), ())?;
+        }
+        let seed = top.get("seed").and_then(|value| {
+            let seed = value.as_str().and_then(|text| u64::from_str_radix(text, 16).ok());
+            seed.ok_or_else(|| top.wrong("seed", "a hex number is wanted"))
+        });
+        let known = top.get("known").and_then(|value| {
+            List::deserialize(value).map_err(|_| top.wrong("known", "a list of backends is wanted"))
+        });
+        let empty = List { index: 0, snapshot: true, endpoints: Vec::new() };
         Ok(Config {
-            name: top.text("name").unwrap_or_default().to_string(),
+            name: top.get("name").ok().and_then(|name| name.as_str()).unwrap_or_default().to_string(),
             listen: address("listen")?,
             peers: Peers {
                 discovery: address("discovery")?,
                 counter: if settings.counter { Some(address("counter")?) } else { None },
             },
-            seed: seed.map_err(|_| top.wrong("seed", "a hex number is wanted"))?,
+            seed: top.or(seed, 0)?,
             sockets: top.section("limits")?.whole("sockets")? as usize,
             memory_mb: top.section("limits")?.whole("memory_mb")? as usize,
-            known: known.map_err(|_| top.wrong("known", "a list of backends is wanted"))?,
+            known: top.or(known, empty)?,
             names: settings::names(&told)?,
             settings,
         })
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -44,3 +44,10 @@
         operator.and_then(|o| o.admin),
     ))
 }
+
+/// All that is wrong with a configuration's text, each with the key at fault, as in
+/// `configuration.settings.profiles[1].aim-ms`. Nothing is wrong with an empty answer.
+#[must_use]
+pub fn check(text: &[u8]) -> Vec<slatelock::interface::SettingsError> {
+    config::Config::wrong(text)
+}
--- a/crates/slatelock/src/settings.rs
+++ b/crates/slatelock/src/settings.rs
@@ -1,5 +1,7 @@
 //! The JSON that a gateway starts with, to [`Settings`]; the one reader for all programs.
 
+use std::cell::RefCell;
+
 use serde_json::Value;
 
 use crate::interface::{Class, Effect, Group, Limits, LoadField, Plan, Settings, SettingsError, SlowStart};
@@ -143,18 +145,53 @@
     SettingsError { field, problem }
 }
 
+/// Stands for a section that is missing.
+static NOTHING: Value = Value::Null;
+
 /// A JSON value and where it stands.
 #[derive(Debug)]
 pub struct Keys<'a> {
     at: String,
     value: &'a Value,
+    /// Where errors go while reading goes on, if it is to.
+    sink: Option<&'a RefCell<Vec<SettingsError>>>,
 }
 
 #[allow(missing_docs, clippy::missing_errors_doc)] // Each reads what its name says, or names the field.
 impl<'a> Keys<'a> {
     #[must_use]
     pub fn new(at: &str, value: &'a Value) -> Self {
-        Keys { at: at.to_string(), value }
+        Keys { at: at.to_string(), value, sink: None }
+    }
+
+    /// Reads on past errors, so that each is found: they go to `sink`, and something stands in for the value.
+    #[must_use]
+    pub fn collecting(at: &str, value: &'a Value, sink: &'a RefCell<Vec<SettingsError>>) -> Self {
+        Keys { at: at.to_string(), value, sink: Some(sink) }
+    }
+
+    /// A result, or what stands in for it where errors are collected.
+    pub fn or<T>(&self, result: Result<T, SettingsError>, instead: T) -> Result<T, SettingsError> {
+        match (result, self.sink) {
+            (Err(e), Some(sink)) => {
+                // What is in a section that is missing is not missing by itself.
+                if !self.value.is_null() {
+                    sink.borrow_mut().push(e);
+                }
+                Ok(instead)
+            }
+            (result, _) => result,
+        }
+    }
+
+    /// Whether nothing was found wrong so far.
+    #[must_use]
+    pub fn sound(&self) -> bool {
+        self.sink.is_none_or(|sink| sink.borrow().is_empty())
+    }
+
+    fn at(&self, key: &str, value: &'a Value) -> Keys<'a> {
+        Keys { at: format!("{}.{key}", self.at), value, sink: self.sink }
     }
 
     #[must_use]
@@ -167,32 +204,46 @@
     }
 
     pub fn section(&self, key: &str) -> Result<Keys<'a>, SettingsError> {
-        let value = self.get(key)?;
-        if !value.is_object() {
-            return Err(self.wrong(key, "a section is wanted"));
-        }
-        Ok(Keys { at: format!("{}.{key}", self.at), value })
+        let section = self.get(key).and_then(|value| {
+            if value.is_object() {
+                Ok(value)
+            } else {
+                Err(self.wrong(key, "a section is wanted"))
+            }
+        });
+        Ok(self.at(key, self.or(section, &NOTHING)?))
+    }
+
+    fn read<T>(
+        &self,
+        key: &str,
+        instead: T,
+        wanted: &'static str,
+        read: impl FnOnce(&'a Value) -> Option<T>,
+    ) -> Result<T, SettingsError> {
+        self.or(self.get(key).and_then(|value| read(value).ok_or_else(|| self.wrong(key, wanted))), instead)
     }
 
     pub fn number(&self, key: &str) -> Result<f64, SettingsError> {
-        self.get(key)?.as_f64().ok_or_else(|| self.wrong(key, "a number is wanted"))
+        self.read(key, 1.0, "a number is wanted", Value::as_f64)
     }
 
     pub fn whole(&self, key: &str) -> Result<u32, SettingsError> {
-        let whole = self.get(key)?.as_u64().and_then(|n| u32::try_from(n).ok());
-        whole.ok_or_else(|| self.wrong(key, "a whole number is wanted"))
+        let whole = |value: &Value| value.as_u64().and_then(|n| u32::try_from(n).ok());
+        self.read(key, 1, "a whole number is wanted", whole)
     }
 
     pub fn flag(&self, key: &str) -> Result<bool, SettingsError> {
-        self.get(key)?.as_bool().ok_or_else(|| self.wrong(key, "true or false is wanted"))
+        self.read(key, false, "true or false is wanted", Value::as_bool)
     }
 
     pub fn text(&self, key: &str) -> Result<&'a str, SettingsError> {
-        self.get(key)?.as_str().ok_or_else(|| self.wrong(key, "a word is wanted"))
+        self.read(key, "", "a word is wanted", Value::as_str)
     }
 
     pub fn word(&self) -> Result<&'a str, SettingsError> {
-        self.value.as_str().ok_or_else(|| wrong(self.at.clone(), "a word is wanted"))
+        let word = self.value.as_str().ok_or_else(|| wrong(self.at.clone(), "a word is wanted"));
+        self.or(word, "")
     }
 
     pub fn each<T>(
@@ -200,8 +251,14 @@
         key: &str,
         read: impl Fn(&Keys<'a>) -> Result<T, SettingsError>,
     ) -> Result<Vec<T>, SettingsError> {
-        let list = self.get(key)?.as_array().ok_or_else(|| self.wrong(key, "a list is wanted"))?;
-        let read = |(i, value)| read(&Keys { at: format!("{}.{key}[{i}]", self.at), value });
-        list.iter().enumerate().map(read).collect()
+        let list =
+            self.get(key).and_then(|v| v.as_array().ok_or_else(|| self.wrong(key, "a list is wanted")));
+        let list = self.or(list.map(Vec::as_slice), &[])?;
+        let mut all = Vec::with_capacity(list.len());
+        for (i, value) in list.iter().enumerate() {
+            let item = read(&self.at(&format!("{key}[{i}]"), value)).map(Some);
+            all.extend(self.or(item, None)?);
+        }
+        Ok(all)
     }
 }
