Tests of the hard cases of fleet control; commits of the log in two phases

Need: the hard cases were not triggered: late sends, silent and dead gateways, repeats, kills, damage, strangers.

Change: tests over loopback with real processes.

Found by them: a log that was cut after a kill opened silently on an older commit, as redb falls back to the one before when the last does not verify. Commits are now in two phases, so the last alone counts and damage is named.

--- a/crates/agent/src/log.rs
+++ b/crates/agent/src/log.rs
@@ -230,6 +230,10 @@
     fn write(&self, change: impl FnOnce(&Tables) -> Result<(), redb::Error>) -> Result<(), LogError> {
         let mut transaction = self.database.begin_write().map_err(|e| self.failed(&e))?;
         transaction.set_durability(Durability::Immediate).map_err(|e| self.failed(&e))?;
+        // Danger: a commit that is torn, or flipped later, and is passed over in favour of the one before it,
+        // as if its orders had never been acknowledged. In two phases the last commit is the only one that
+        // counts, so it is found to be damaged. Harm: two waits for the disk in place of one.
+        transaction.set_two_phase_commit(true);
         let tables = Tables(transaction);
         change(&tables).map_err(|e| self.failed(&e))?;
         tables.0.commit().map_err(|e| self.failed(&e))
--- a/crates/beechrudder/src/check.rs
+++ b/crates/beechrudder/src/check.rs
@@ -37,7 +37,7 @@
             Output::Table if wrong.is_empty() => out(&format!("{name}: good\n")),
             Output::Table => {
                 for Wrong { line, key, problem } in wrong {
-                    let line = line.map_or(String::new(), |line| format!("{line}: "));
+                    let line = line.map_or(String::new(), |line| format!("{line}:"));
                     out(&format!("{name}:{line} {key}: {problem}\n"));
                 }
             }
--- /dev/null
+++ b/crates/beechrudder/tests/crashes.rs
@@ -0,0 +1,224 @@
+//! An agent that is killed anywhere, and a log that is damaged.
+
+mod support;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fs;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use beechrudder_agent::{Contents, Log, LogError};
+use beechrudder_channel::Dialer;
+use beechrudder_fleet::wire::{Ask, Logged, Numbered, Say, LINE_MOST};
+use beechrudder_fleet::{Change, Subject};
+use beechrudder_operator::Address;
+use beechrudder_testbed::Dice;
+use support::{until, Fleet, PATIENCE};
+
+/// Kills of one run.
+const KILLS: u64 = 24;
+
+/// Orders on the connections of one tool until it ends: notes what was tried and what was acknowledged.
+async fn order_on(address: Address, tool: u64, round: u64, seen: Arc<Mutex<Seen>>) {
+    let mut dice = Dice::new(tool << 32 | round);
+    let Ok(mut lines) = Dialer::default().connect(&address, PATIENCE, LINE_MOST).await else { return };
+    for n in 0.. {
+        let id = format!("r{round}-t{tool}-{n}");
+        let subject: Subject = format!("till-{}", dice.below(4)).parse().expect("one");
+        let change = match dice.below(4) {
+            0 => Change::Drain,
+            1 => Change::Undrain,
+            _ => Change::Weight(0.25 + dice.below(8) as f64 / 4.0),
+        };
+        seen.lock().expect("unpoisoned").tried.insert(id.clone(), (subject.clone(), change));
+        let (id_word, forced) = (id.parse().expect("an id"), true);
+        let body = Ask::Order { id: id_word, subject, change, forced, deadline_ms: 5_000 };
+        if lines.send(&Numbered { n, body }).await.is_err() {
+            return;
+        }
+        loop {
+            match lines.next::<Numbered<Say>>().await {
+                Ok(Some(Numbered { body: Say::Accepted(_), .. })) => {
+                    seen.lock().expect("unpoisoned").acknowledged.insert(id.clone());
+                }
+                Ok(Some(Numbered { body: Say::Done(_), .. })) => break,
+                Ok(Some(Numbered { body: Say::Fault(fault), .. })) => panic!("{}", fault.message),
+                Ok(Some(_)) => {}
+                Ok(None) | Err(_) => return,
+            }
+        }
+    }
+}
+
+#[derive(Default)]
+struct Seen {
+    tried: BTreeMap<String, (Subject, Change)>,
+    acknowledged: BTreeSet<String>,
+}
+
+/// What the log has, oldest first.
+fn logged(fleet: &Fleet) -> Vec<Logged> {
+    let ran = fleet.json(&["orders", "-n", "1000"]);
+    assert_eq!(ran.code, 0, "{}", ran.err);
+    let mut all: Vec<Logged> =
+        ran.out.lines().map(|line| serde_json::from_str(line).expect("an order")).collect();
+    all.reverse();
+    all
+}
+
+/// What the orders of a log make of a backend, worked out without the code under test.
+fn made(log: &[Logged], backend: &str) -> (bool, f64) {
+    log.iter().filter(|l| l.order.subject.covers(backend, u32::MAX, "")).fold((false, 1.0), |made, l| match l
+        .order
+        .change
+    {
+        Change::Drain => (true, made.1),
+        Change::Undrain => (false, made.1),
+        Change::Weight(weight) => (made.0, weight),
+    })
+}
+
+#[test]
+fn an_agent_killed_at_any_point_has_every_order_that_it_acknowledged_and_applied_none_that_it_has_not() {
+    let seed = 0xbeec_0010;
+    println!("seed {seed:#x}");
+    let mut dice = Dice::new(seed);
+    let mut fleet = Fleet::start(2, 4);
+    fleet.well();
+    let loading = fleet.load(2, 60.0);
+    let seen = Arc::new(Mutex::new(Seen::default()));
+    for round in 0..KILLS {
+        let address = fleet.agent_address();
+        let tools: Vec<_> = (0..3)
+            .map(|tool| fleet.runtime.spawn(order_on(address.clone(), tool, round, Arc::clone(&seen))))
+            .collect();
+        // Some rounds end in the first write, some in the fan-out of a later one.
+        std::thread::sleep(Duration::from_micros(dice.below(60_000)));
+        fleet.kill_agent();
+        for tool in tools {
+            fleet.runtime.block_on(tool).expect("it ends");
+        }
+        // What gateways were told last is in the log, whatever the agent was doing.
+        let told: Vec<String> =
+            (0..2).filter_map(|place| fleet.state(place).last_order).map(|id| id.to_string()).collect();
+        fleet.start_agent();
+        let log = logged(&fleet);
+        let ids: BTreeSet<String> = log.iter().map(|l| l.order.id.to_string()).collect();
+        let seen = seen.lock().expect("unpoisoned");
+        let lost: Vec<_> = seen.acknowledged.difference(&ids).collect();
+        assert!(lost.is_empty(), "seed {seed:#x}, round {round}: acknowledged and lost: {lost:?}");
+        assert!(
+            told.iter().all(|id| ids.contains(id)),
+            "seed {seed:#x}, round {round}: applied unlogged {told:?}"
+        );
+        for l in &log {
+            let tried = &seen.tried[l.order.id.as_str()];
+            assert_eq!((&l.order.subject, l.order.change), (&tried.0, tried.1));
+        }
+    }
+    assert!(seen.lock().expect("unpoisoned").acknowledged.len() > 50, "the kills left nothing to test");
+    fleet.well();
+    let log = logged(&fleet);
+    for place in 0..2 {
+        for b in fleet.state(place).backends.expect("asked for") {
+            assert_eq!(
+                (b.drained_by.is_some(), b.weight),
+                made(&log, &b.name),
+                "gateway {place}, {}",
+                b.name
+            );
+        }
+    }
+    let tally = fleet.finish(loading);
+    assert_eq!(tally.lost, 0, "{tally:?}");
+    fleet.judge();
+}
+
+#[test]
+fn a_truncated_or_flipped_log_is_found_and_named_and_nothing_is_started_on_it() {
+    let mut fleet = Fleet::start(1, 4);
+    fleet.well();
+    for i in 0..40 {
+        let ran = fleet.json(&["weight", "till-0", &format!("{}", 1 + i), "--id", &format!("w{i}")]);
+        assert_eq!(ran.code, 0, "{}", ran.err);
+    }
+    fleet.kill_agent();
+    let good = fs::read(fleet.log()).expect("the log");
+    let name = fleet.log().display().to_string();
+    let refuses = |what: &str| {
+        let ran = fleet.failing_agent();
+        assert_eq!(ran.code, 1, "{what}: {} {}", ran.out, ran.err);
+        assert!(ran.err.contains(&name) && ran.err.contains("damaged"), "{what}: {}", ran.err);
+        assert!(!ran.out.contains("overseeing"), "{what}");
+    };
+    // Wherever it is cut: it is found damaged, unless nothing stood beyond, and then nothing is missing.
+    let mut refused = 0;
+    for part in 1..16 {
+        fs::write(fleet.log(), &good[..good.len() * part / 16]).expect("room");
+        match Log::open(&fleet.log()) {
+            Err(LogError::Damaged(path, _)) if path == fleet.log() => refused += 1,
+            Err(other) => panic!("{part}/16: {other}"),
+            Ok((_, contents)) => assert_eq!(contents.orders.len(), 40, "{part}/16: some are missing, unsaid"),
+        }
+    }
+    assert!(refused > 4, "{refused}");
+    fs::write(fleet.log(), &good[..good.len() / 4]).expect("room");
+    refuses("cut");
+    // A byte of the text of an order, wherever one stands in a page that counts.
+    let needle = b"\"id\":\"w39\"";
+    let places: Vec<usize> =
+        (0..good.len() - needle.len()).filter(|at| &good[*at..*at + needle.len()] == needle).collect();
+    assert!(!places.is_empty(), "the order is in the log");
+    let mut flipped = good.clone();
+    places.iter().for_each(|at| flipped[at + 7] ^= 1);
+    fs::write(fleet.log(), &flipped).expect("room");
+    refuses("flipped");
+    // Any byte, by a seed: found, or of no weight, but never an order less or another one.
+    let seed = 0xbeec_0011;
+    let (mut dice, mut found) = (Dice::new(seed), 0);
+    let whole = |contents: &Contents| contents.orders.iter().map(|l| l.order.clone()).collect::<Vec<_>>();
+    fs::write(fleet.log(), &good).expect("room");
+    let truth = whole(&Log::open(&fleet.log()).expect("good").1);
+    for _ in 0..300 {
+        let (mut flipped, at) = (good.clone(), dice.below(good.len() as u64) as usize);
+        flipped[at] ^= 1 << dice.below(8);
+        fs::write(fleet.log(), &flipped).expect("room");
+        match Log::open(&fleet.log()) {
+            Err(_) => found += 1,
+            Ok((_, contents)) => assert_eq!(whole(&contents), truth, "seed {seed:#x}: byte {at}"),
+        }
+    }
+    println!("seed {seed:#x}: {found} of 300 flips found, the others of no weight");
+    fs::write(fleet.log(), b"not a log at all").expect("room");
+    refuses("another file");
+    // The copy put back does.
+    fs::write(fleet.log(), &good).expect("room");
+    fleet.start_agent();
+    assert_eq!(logged(&fleet).len(), 40);
+    fleet.well();
+}
+
+#[test]
+fn two_agents_do_not_share_a_log() {
+    let fleet = Fleet::start(1, 2);
+    let second = fleet.failing_agent();
+    assert_eq!(second.code, 1);
+    assert!(second.err.contains("another agent has it open"), "{}", second.err);
+    fleet.well();
+}
+
+#[test]
+fn an_agent_that_lost_its_log_takes_no_drain_back() {
+    let mut fleet = Fleet::start(1, 4);
+    fleet.well();
+    assert_eq!(fleet.json(&["drain", "till-0"]).code, 0);
+    fleet.kill_agent();
+    fs::remove_file(fleet.log()).expect("it is there");
+    // Its term is the second in which it begins.
+    std::thread::sleep(Duration::from_millis(1_100));
+    fleet.start_agent();
+    fleet.well();
+    assert!(fleet.drained(0, "till-0"));
+    assert_eq!(fleet.json(&["undrain", "till-0"]).code, 0);
+    until("it is back", || !fleet.drained(0, "till-0"));
+}
--- /dev/null
+++ b/crates/beechrudder/tests/support/mod.rs
@@ -0,0 +1,353 @@
+//! A fleet for a test: stand-ins in threads here, gateways and an agent as processes of the built program.
+#![allow(dead_code)]
+
+use std::fs;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use std::time::{Duration, Instant};
+
+use beechrudder_channel::{Dialer, Lines};
+use beechrudder_fleet::wire::{GatewayAsk, GatewaySay, GatewayState, Numbered, LINE_MOST};
+use beechrudder_operator::Address;
+use beechrudder_testbed::audit::{audit, Terms};
+use beechrudder_testbed::backend::{Backend, Spec};
+use beechrudder_testbed::client::{Load, Plan, Tally};
+use beechrudder_testbed::counter::Counter;
+use beechrudder_testbed::discovery::Discovery;
+use beechrudder_testbed::journal::Journal;
+use beechrudder_testbed::platform;
+use serde_json::Value;
+use tempfile::TempDir;
+use tokio::runtime::Runtime;
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
+
+/// How long anything that must come may take; long, so that a slow machine gives the same verdict.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+pub const PROGRAM: &str = env!("CARGO_BIN_EXE_beechrudder");
+
+/// Waits until something holds; a test fails without it.
+pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < PATIENCE, "not in time: {what}");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// A process of the program, which ends with the value.
+pub struct Process {
+    pub child: Child,
+    log: PathBuf,
+}
+
+impl Process {
+    /// Starts one, and waits for the line that begins like this; gives the rest of it.
+    pub fn start(
+        words: &[&str],
+        config: Option<&Path>,
+        log: &Path,
+        begin: &[&str],
+    ) -> (Process, Vec<String>) {
+        let mut command = Command::new(PROGRAM);
+        command.args(words).stdin(Stdio::null()).stdout(Stdio::piped());
+        command.stderr(fs::File::create(log).expect("a log"));
+        if let Some(config) = config {
+            command.env("GW_CONFIG", config);
+        }
+        let mut child = command.spawn().expect("it starts");
+        let mut said = BufReader::new(child.stdout.take().expect("its output"));
+        let process = Process { child, log: log.to_path_buf() };
+        let mut all = Vec::new();
+        for begin in begin {
+            let mut line = String::new();
+            said.read_line(&mut line).expect("a line");
+            let rest = line.trim_end().strip_prefix(begin);
+            all.push(rest.unwrap_or_else(|| panic!("{line:?}: {}", process.logged())).to_string());
+        }
+        (process, all)
+    }
+
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args([name, &id]).status().expect("kill").success());
+    }
+
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    pub fn logged(&self) -> String {
+        fs::read_to_string(&self.log).unwrap_or_default()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+pub struct Gateway {
+    pub name: String,
+    pub address: SocketAddr,
+    pub admin: Address,
+    pub process: Process,
+    config: PathBuf,
+}
+
+/// What a command of the program came to.
+pub struct Ran {
+    pub code: i32,
+    pub out: String,
+    pub err: String,
+}
+
+impl Ran {
+    /// The one object that it printed.
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.out).unwrap_or_else(|e| panic!("{e}: {:?} {:?}", self.out, self.err))
+    }
+
+    /// What a gateway did, by its name.
+    pub fn did(&self, gateway: &str) -> Value {
+        let all = self.json();
+        let instances = all["instances"].as_array().expect("instances");
+        instances.iter().find(|i| i["gateway"] == gateway).expect("named").clone()
+    }
+}
+
+impl From<Output> for Ran {
+    fn from(output: Output) -> Ran {
+        let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+        let code = output.status.code().unwrap_or(-1);
+        Ran { code, out: text(&output.stdout), err: text(&output.stderr) }
+    }
+}
+
+/// Runs a process that is to end by itself; one that runs on is ended.
+pub fn ended(mut command: Command) -> Ran {
+    let mut child = command.stdout(Stdio::piped()).stderr(Stdio::piped()).spawn().expect("it starts");
+    let start = Instant::now();
+    while child.try_wait().expect("a child").is_none() && start.elapsed() < PATIENCE {
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    let _ = child.kill();
+    child.wait_with_output().expect("its output").into()
+}
+
+/// A steady load in the background.
+pub struct Loading {
+    pub load: Load,
+    end: oneshot::Sender<()>,
+    task: JoinHandle<()>,
+}
+
+pub struct Fleet {
+    pub journal: Journal,
+    pub discovery: Discovery,
+    pub counter: Counter,
+    pub backends: Vec<Backend>,
+    pub gateways: Vec<Gateway>,
+    pub agent: Option<Process>,
+    pub runtime: Runtime,
+    pub dir: TempDir,
+    operator: PathBuf,
+}
+
+impl Fleet {
+    /// Gateways and backends, and an agent that oversees them.
+    pub fn start(gateways: usize, backends: usize) -> Fleet {
+        Fleet::with(gateways, backends, &[], "")
+    }
+
+    /// The same with further members of the operator's file, and more settings of its agent.
+    pub fn with(gateways: usize, backends: usize, members: &[&str], settings: &str) -> Fleet {
+        let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
+        let (runtime, journal) = (runtime.expect("a runtime"), Journal::new(1_000_000));
+        let (discovery, counter, started) = runtime.block_on(async {
+            let mut all = Vec::new();
+            for i in 0..backends {
+                all.push(Backend::start(Spec::plain(i), journal.clone()).await.expect("it starts"));
+            }
+            (Discovery::start().await.expect("it starts"), Counter::start().await.expect("it starts"), all)
+        });
+        started.iter().for_each(|b| discovery.list(b, "SERVING"));
+        let dir = tempfile::Builder::new().prefix("br-").tempdir().expect("a folder");
+        let (at, operator) = (dir.path().display(), dir.path().join("operator.toml"));
+        let mut text = format!("[admin]\nlisten = \"unix:{at}/{{name}}.sock\"\n\n[agent]\n");
+        text += &format!("listen = \"unix:{at}/agent.sock\"\nlog = \"{at}/orders.redb\"\n");
+        text += &format!("heartbeat_ms = 200\nanswer_ms = 600\n{settings}\n");
+        let names = (0..gateways).map(|i| format!("n{i}")).chain(members.iter().map(|m| m.to_string()));
+        for name in names {
+            text += &format!("\n[[gateway]]\nname = \"{name}\"\nadmin = \"unix:{at}/{name}.sock\"\n");
+        }
+        fs::write(&operator, text).expect("room");
+        let (backends, agent) = (started, None);
+        let mut fleet = Fleet {
+            journal,
+            discovery,
+            counter,
+            backends,
+            gateways: Vec::new(),
+            agent,
+            runtime,
+            dir,
+            operator,
+        };
+        for me in 0..gateways {
+            let gateway = fleet.gateway(&format!("n{me}"), me, gateways);
+            fleet.gateways.push(gateway);
+        }
+        fleet.start_agent();
+        fleet
+    }
+
+    fn path(&self, name: &str) -> PathBuf {
+        self.dir.path().join(name)
+    }
+
+    /// A gateway of this name.
+    pub fn gateway(&self, name: &str, me: usize, all: usize) -> Gateway {
+        let known = self.discovery.known();
+        let (discovery, counter) = (self.discovery.address, self.counter.address);
+        let mut config = platform::config(me, all, discovery, counter, &known, None);
+        config["name"] = name.into();
+        let file = self.path(&format!("{name}.json"));
+        fs::write(&file, config.to_string()).expect("room");
+        self.gateway_of(name, file)
+    }
+
+    fn gateway_of(&self, name: &str, config: PathBuf) -> Gateway {
+        let operator = self.operator.display().to_string();
+        let words = ["gateway", "--operator", &operator];
+        let begin = ["admin on ", "listening on "];
+        let (process, said) =
+            Process::start(&words, Some(&config), &self.path(&format!("{name}.log")), &begin);
+        let (admin, address) = (said[0].parse().expect("one"), said[1].parse().expect("an address"));
+        // It comes back at the same address.
+        let text = fs::read_to_string(&config).expect("there");
+        let mut json: Value = serde_json::from_str(&text).expect("JSON");
+        json["listen"] = said[1].clone().into();
+        fs::write(&config, json.to_string()).expect("room");
+        Gateway { name: name.to_string(), address, admin, process, config }
+    }
+
+    /// Starts a gateway anew that was killed.
+    pub fn restart(&mut self, place: usize) {
+        let (name, config) = (self.gateways[place].name.clone(), self.gateways[place].config.clone());
+        self.gateways[place].process.kill();
+        let again = self.gateway_of(&name, config);
+        self.gateways[place] = again;
+    }
+
+    pub fn start_agent(&mut self) {
+        let operator = self.operator.display().to_string();
+        let log = self.path("agent.log");
+        let (process, _) = Process::start(&["agent", "--operator", &operator], None, &log, &["overseeing "]);
+        self.agent = Some(process);
+    }
+
+    /// Starts the agent where it is to fail, and gives what it came to; one that runs on is ended.
+    pub fn failing_agent(&self) -> Ran {
+        let operator = self.operator.display().to_string();
+        let mut command = Command::new(PROGRAM);
+        command.args(["agent", "--operator", &operator]).stdin(Stdio::null());
+        ended(command)
+    }
+
+    pub fn kill_agent(&mut self) {
+        if let Some(mut agent) = self.agent.take() {
+            agent.kill();
+        }
+    }
+
+    pub fn agent_address(&self) -> Address {
+        Address::Unix(self.path("agent.sock"))
+    }
+
+    pub fn log(&self) -> PathBuf {
+        self.path("orders.redb")
+    }
+
+    /// Runs the command line.
+    pub fn cli(&self, words: &[&str]) -> Ran {
+        let agent = self.agent_address().to_string();
+        let output = Command::new(PROGRAM).args(["--agent", &agent]).args(words).output();
+        output.expect("it runs").into()
+    }
+
+    /// Runs it for its JSON.
+    pub fn json(&self, words: &[&str]) -> Ran {
+        self.cli(&[words, &["-o", "json"]].concat())
+    }
+
+    /// Waits until all gateways are well by the agent's word.
+    pub fn well(&self) {
+        until("all gateways are well", || {
+            let ran = self.json(&["status"]);
+            ran.code == 0
+                && ran.json()["gateways"].as_array().expect("a list").iter().all(|g| g["health"] == "ok")
+        });
+    }
+
+    /// Asks a gateway itself.
+    pub fn ask(&self, admin: &Address, ask: GatewayAsk) -> GatewaySay {
+        self.runtime.block_on(async {
+            let mut lines = Dialer::default().connect(admin, PATIENCE, LINE_MOST).await.expect("it listens");
+            ask_on(&mut lines, ask).await
+        })
+    }
+
+    /// A gateway's own state.
+    pub fn state(&self, place: usize) -> GatewayState {
+        match self.ask(&self.gateways[place].admin, GatewayAsk::State { backends: true }) {
+            GatewaySay::State(state) => state,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    /// Whether a gateway has a backend drained by order.
+    pub fn drained(&self, place: usize, backend: &str) -> bool {
+        let all = self.state(place).backends.expect("asked for");
+        all.iter().find(|b| b.name == backend).expect("listed").drained_by.is_some()
+    }
+
+    /// A load over the first so many gateways.
+    pub fn load(&self, gateways: usize, rate: f64) -> Loading {
+        let addresses = self.gateways.iter().take(gateways).map(|g| g.address).collect();
+        let load = Load::new(addresses, 1 << 40, self.journal.clone());
+        let plan = Plan { rate, ..Plan::default() };
+        let (end, ended) = oneshot::channel::<()>();
+        let running = load.clone();
+        let task = self.runtime.spawn(async move {
+            let end = async { drop(ended.await) };
+            running.run(&plan, end).await;
+        });
+        until("the load is served", || load.tally().served > 20);
+        Loading { load, end, task }
+    }
+
+    /// Ends a load and waits for its last answers.
+    pub fn finish(&self, loading: Loading) -> Tally {
+        let _ = loading.end.send(());
+        self.runtime.block_on(loading.task).expect("it ends");
+        loading.load.tally()
+    }
+
+    /// No rule broke.
+    pub fn judge(&self) {
+        let breaches = audit(&self.journal, Terms::default()).expect("all events are there");
+        let shown: Vec<String> = breaches.iter().map(ToString::to_string).take(10).collect();
+        assert!(breaches.is_empty(), "{} breaches: {shown:#?}", breaches.len());
+    }
+}
+
+pub async fn ask_on(lines: &mut Lines, ask: GatewayAsk) -> GatewaySay {
+    lines.send(&Numbered { n: 1, body: ask }).await.expect("it listens");
+    let said: Option<Numbered<GatewaySay>> = lines.next().await.expect("a line");
+    said.expect("an answer").body
+}
--- /dev/null
+++ b/crates/beechrudder/tests/unreachable.rs
@@ -0,0 +1,159 @@
+//! Gateways that are silent, gone or not what they say; orders that come again and again.
+
+mod support;
+
+use std::io::Read;
+use std::os::unix::net::UnixListener;
+use std::time::Instant;
+
+use beechrudder_channel::Dialer;
+use beechrudder_fleet::wire::{Ask, Numbered, Say, LINE_MOST};
+use beechrudder_fleet::Change;
+use support::{until, Fleet, PATIENCE};
+
+#[test]
+fn gateways_that_cannot_be_reached_are_named_and_converge_by_themselves() {
+    let mut fleet = Fleet::with(3, 4, &["n3"], "least_ready = 0.0");
+    // One that accepts and never answers.
+    let hole = fleet.dir.path().join("n3.sock");
+    let listener = UnixListener::bind(&hole).expect("a socket");
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            std::thread::spawn(move || std::io::copy(&mut stream.by_ref(), &mut std::io::sink()));
+        }
+    });
+    until("three are well", || {
+        let all = fleet.json(&["status"]).json();
+        all["gateways"].as_array().expect("a list").iter().filter(|g| g["health"] == "ok").count() == 3
+    });
+    let loading = fleet.load(1, 100.0);
+    fleet.gateways[1].process.signal("-STOP");
+    fleet.gateways[2].process.kill();
+    let start = Instant::now();
+    let ran = fleet.json(&["drain", "till-0", "--deadline", "8s"]);
+    assert!(start.elapsed() < PATIENCE, "the deadline is 8 s");
+    assert_eq!(ran.code, 3, "{} {}", ran.out, ran.err);
+    assert_eq!(ran.did("n0")["outcome"], "applied");
+    for name in ["n1", "n2", "n3"] {
+        let did = ran.did(name);
+        assert_eq!(did["did"], "unreachable", "{did}");
+        assert!(!did["why"].as_str().expect("why").is_empty());
+    }
+    let status = fleet.json(&["status"]);
+    assert_eq!(status.code, 3);
+    let shown = fleet.cli(&["status"]);
+    assert_eq!(shown.out.matches("unreachable").count(), 3, "{}", shown.out);
+    // Another order on the way, so that what they missed is more than one.
+    assert_eq!(fleet.json(&["weight", "till-1", "0.5"]).code, 3);
+    // Each is back, without a word to the agent.
+    fleet.gateways[1].process.signal("-CONT");
+    fleet.restart(2);
+    std::fs::remove_file(&hole).expect("the hole is closed");
+    let late = fleet.gateway("n3", 3, 4);
+    fleet.gateways.push(late);
+    fleet.well();
+    for place in 0..4 {
+        assert!(fleet.drained(place, "till-0"), "gateway {place}");
+        let all = fleet.state(place).backends.expect("asked for");
+        assert_eq!(all.iter().find(|b| b.name == "till-1").expect("listed").weight, 0.5);
+    }
+    let tally = fleet.finish(loading);
+    assert_eq!(tally.lost, 0, "{tally:?}");
+    fleet.judge();
+}
+
+#[test]
+fn gateways_go_on_with_their_last_state_while_the_agent_is_gone() {
+    let mut fleet = Fleet::start(2, 4);
+    fleet.well();
+    assert_eq!(fleet.json(&["drain", "till-0"]).code, 0);
+    fleet.kill_agent();
+    let gone = fleet.json(&["status"]);
+    assert_eq!(gone.code, 5, "{}", gone.err);
+    assert!(gone.err.contains("no agent: unix:"), "{}", gone.err);
+    let loading = fleet.load(2, 200.0);
+    until("there is work", || loading.load.tally().served > 200);
+    assert!(fleet.drained(0, "till-0") && fleet.drained(1, "till-0"));
+    assert_eq!(fleet.backends[0].arrived(), 0);
+    // One that starts anew meanwhile is empty; the agent brings it up to date before anything else.
+    fleet.restart(1);
+    assert!(!fleet.drained(1, "till-0"));
+    fleet.start_agent();
+    fleet.well();
+    assert!(fleet.drained(1, "till-0"));
+    fleet.finish(loading);
+}
+
+#[test]
+fn a_gateway_under_anothers_address_is_not_taken_for_it() {
+    let fleet = Fleet::start(1, 2);
+    let own = fleet.gateways[0].admin.to_string();
+    assert_eq!(fleet.json(&["gateways", "add", "other", &own]).code, 0);
+    until("it is told apart", || {
+        let all = fleet.json(&["status"]).json();
+        let other =
+            all["gateways"].as_array().expect("a list").iter().find(|g| g["name"] == "other").cloned();
+        other.expect("named")["health"]["unreachable"]["why"] == "gateway n0 answers there"
+    });
+    assert_eq!(fleet.json(&["gateways", "remove", "other"]).code, 0);
+    fleet.well();
+    let fixed = fleet.json(&["gateways", "remove", "n0"]);
+    assert_eq!(fixed.code, 4);
+    assert!(fixed.err.contains("operator's file"), "{}", fixed.err);
+    assert_eq!(fleet.json(&["gateways", "remove", "none"]).code, 4);
+    assert_eq!(fleet.json(&["gateways", "add", "n0", "unix:/elsewhere"]).code, 4);
+}
+
+#[test]
+fn the_same_order_a_thousand_times_at_once_is_one() {
+    let fleet = Fleet::start(3, 4);
+    fleet.well();
+    let address = fleet.agent_address();
+    let answers: Vec<(bool, u64, u32)> = fleet.runtime.block_on(async {
+        let mut tools = tokio::task::JoinSet::new();
+        for _ in 0..40 {
+            let address = address.clone();
+            tools.spawn(async move {
+                let connected = Dialer::default().connect(&address, PATIENCE, LINE_MOST).await;
+                let (mut lines, mut answers) = (connected.expect("it listens"), Vec::new());
+                for n in 0..25 {
+                    let (id, subject) = ("one".parse().expect("an id"), "till-0".parse().expect("one"));
+                    let (change, forced, deadline_ms) = (Change::Drain, false, 20_000);
+                    let body = Ask::Order { id, subject, change, forced, deadline_ms };
+                    lines.send(&Numbered { n, body }).await.expect("it listens");
+                    let mut accepted = None;
+                    loop {
+                        let said: Option<Numbered<Say>> = lines.next().await.expect("a line");
+                        match said.expect("an answer").body {
+                            Say::Accepted(a) => accepted = Some((a.repeated, a.revision.seq)),
+                            Say::Done(done) => {
+                                let (repeated, seq) = accepted.expect("accepted first");
+                                answers.push((repeated, seq, done.done));
+                                break;
+                            }
+                            Say::Instance(_) => {}
+                            other => panic!("{other:?}"),
+                        }
+                    }
+                }
+                answers
+            });
+        }
+        tools.join_all().await.concat()
+    });
+    assert_eq!(answers.len(), 1_000);
+    assert_eq!(answers.iter().filter(|(repeated, ..)| !repeated).count(), 1);
+    assert!(answers.iter().all(|(_, seq, done)| (*seq, *done) == (1, 3)), "{answers:?}");
+    let orders = fleet.json(&["orders"]);
+    assert_eq!(orders.out.lines().count(), 1, "{}", orders.out);
+    // Drained once: an undrain takes it back whole.
+    assert_eq!(fleet.json(&["undrain", "till-0"]).code, 0);
+    assert!((0..3).all(|place| !fleet.drained(place, "till-0")));
+    // The first order again is told as what it was, and does not drain.
+    let again = fleet.json(&["drain", "till-0", "--id", "one"]);
+    assert_eq!((again.code, &again.json()["accepted"]["repeated"]), (0, &true.into()));
+    assert!(!fleet.drained(0, "till-0"));
+    let reused = fleet.json(&["drain", "till-1", "--id", "one"]);
+    assert_eq!(reused.code, 4);
+    assert!(reused.err.contains("was given to drain backend/till-0"), "{}", reused.err);
+}
