--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -29,6 +29,8 @@
 use beechrudder_operator::{Agent, Gateway};
 use tokio::sync::{broadcast, mpsc, watch, Semaphore};
 
+use tools::Scope;
+
 pub use log::{Contents, Log, LogError, ORDERS_KEPT};
 
 /// Inputs that may wait for the owner; who brings more waits.
@@ -80,6 +82,13 @@
     // The log first: two agents on one log end here, before either speaks.
     let (log, contents) = Log::open(&config.log).map_err(AgentError::Log)?;
     let listener = Listener::bind(&config.listen, None, TOOL_LINE_MOST).await.map_err(AgentError::Bind)?;
+    let registers = match &config.register {
+        Some(at) => {
+            let listener = Listener::bind(at, config.tls.as_ref(), TOOL_LINE_MOST).await;
+            Some(listener.map_err(AgentError::Bind)?)
+        }
+        None => None,
+    };
     let (published, receiver) = watch::channel(link::Published::default());
     let (reports, told) = mpsc::channel(INBOX);
     let (inbox, inputs) = mpsc::channel(INBOX);
@@ -95,12 +104,17 @@
     };
     let owner =
         owner::Owner::new(log, contents, fixed, config.least_ready, published, shared, events.clone());
-    let tools = tokio::spawn(tools::serve(listener, inbox, events));
+    let registering = registers.map(|listener| {
+        let (inbox, events) = (inbox.clone(), events.clone());
+        tokio::spawn(tools::serve(listener, Scope::Register, inbox, events))
+    });
+    let tools = tokio::spawn(tools::serve(listener, Scope::All, inbox, events));
     ready();
     let result = tokio::select! {
         result = owner.run(inputs, told) => result.map_err(AgentError::Log),
         () = end => Ok(()),
     };
     tools.abort();
+    registering.into_iter().for_each(|task| task.abort());
     result
 }
--- a/crates/agent/src/link.rs
+++ b/crates/agent/src/link.rs
@@ -141,10 +141,17 @@
     async fn follow(&mut self, queries: &mut mpsc::Receiver<Query>) -> Result<(), String> {
         let mut published = self.shared.published.clone();
         let now = published.borrow_and_update().clone();
-        // Before anything else.
-        self.adopt(&now).await?;
+        // Before anything else. It is told of as heard once its list is known too. Danger: an order refused
+        // as no gateway had told its backends, while all are said to be well.
+        let snapshot = (*now.snapshot).clone();
+        match self.ask(GatewayAsk::Adopt { snapshot }).await? {
+            GatewaySay::Applied(_) => {}
+            other => return Err(unexpected(&other)),
+        }
+        let first = self.state(true).await?;
         let (mut sent, mut floor) = (now.newest, now.snapshot.floor);
-        let (mut list, mut since) = (None, LIST_EVERY);
+        let (mut list, mut since) = (Some(first.list), 0);
+        self.heard(first).await?;
         let mut beat = interval(self.shared.heartbeat);
         beat.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
@@ -187,9 +194,7 @@
                         state = self.state(true).await?;
                         (list, since) = (Some(state.list), 0);
                     }
-                    self.boot = state.boot;
-                    let sighting = Sighting::Heard { boot: state.boot, holds: state.holds };
-                    self.report(sighting, Vec::new(), Some(state)).await?;
+                    self.heard(state).await?;
                 }
             }
         }
@@ -206,6 +211,12 @@
         }
     }
 
+    async fn heard(&mut self, state: GatewayState) -> Result<(), String> {
+        self.boot = state.boot;
+        let sighting = Sighting::Heard { boot: state.boot, holds: state.holds };
+        self.report(sighting, Vec::new(), Some(state)).await
+    }
+
     async fn adopt(&mut self, now: &Published) -> Result<(), String> {
         let snapshot = (*now.snapshot).clone();
         let said = self.ask(GatewayAsk::Adopt { snapshot }).await?;
--- a/crates/agent/src/owner.rs
+++ b/crates/agent/src/owner.rs
@@ -377,6 +377,11 @@
                 refuse(format!("{name} is in the operator's file, at {}", known.address));
                 return Ok(());
             }
+            // Danger: a gateway that takes another's name, and with it the orders that are meant for that.
+            Some(known) if matches!(self.health(known), Health::Ok | Health::Behind) => {
+                refuse(format!("{name} answers at {}; end it or remove it first", known.address));
+                return Ok(());
+            }
             None if self.gateways.len() >= GATEWAYS_MOST => {
                 refuse(format!("{GATEWAYS_MOST} gateways are overseen already"));
                 return Ok(());
--- a/crates/agent/src/tools.rs
+++ b/crates/agent/src/tools.rs
@@ -21,8 +21,22 @@
 /// Things that may be on their way to one tool: what all gateways did, and more.
 const SAY_MOST: usize = beechrudder_operator::GATEWAYS_MOST + 16;
 
+/// What may be asked on a listener.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    /// All.
+    All,
+    /// To oversee a gateway, by that gateway. Danger: whoever may register a gateway, and orders drains.
+    Register,
+}
+
 /// Takes connections until the task ends.
-pub async fn serve(listener: Listener, inputs: mpsc::Sender<Asked>, events: broadcast::Sender<String>) {
+pub async fn serve(
+    listener: Listener,
+    scope: Scope,
+    inputs: mpsc::Sender<Asked>,
+    events: broadcast::Sender<String>,
+) {
     let places = Arc::new(Semaphore::new(CONNECTIONS_MOST));
     loop {
         let Ok(place) = Arc::clone(&places).acquire_owned().await else { return };
@@ -38,7 +52,7 @@
             match arrival.open().await {
                 Ok(mut lines) => {
                     // Whatever ends the connection, there is nobody left to tell.
-                    let _ = talk(&mut lines, &inputs, &events).await;
+                    let _ = talk(&mut lines, scope, &inputs, &events).await;
                 }
                 Err(e) => eprintln!("beechrudder-agent: turned away: {e}"),
             }
@@ -52,6 +66,7 @@
 
 async fn talk(
     lines: &mut Lines,
+    scope: Scope,
     inputs: &mpsc::Sender<Asked>,
     events: &broadcast::Sender<String>,
 ) -> Result<(), Over> {
@@ -67,6 +82,11 @@
             }
             Ok(Ok(None) | Err(LineError::Broken(_))) | Err(_) => return Err(Over),
         };
+        if scope == Scope::Register && !matches!(body, Ask::Register { .. }) {
+            let fault = Fault::new(Code::Forbidden, "gateways register here, and nothing else");
+            say(lines, n, Say::Fault(fault)).await?;
+            continue;
+        }
         if matches!(body, Ask::Watch) {
             return watch(lines, n, events.subscribe()).await;
         }
--- a/crates/beechrudder/tests/unreachable.rs
+++ b/crates/beechrudder/tests/unreachable.rs
@@ -104,6 +104,55 @@
     assert_eq!(fleet.json(&["gateways", "add", "n0", "unix:/elsewhere"]).code, 4);
 }
 
+#[test]
+fn a_gateway_registers_by_itself_and_takes_nobodys_name() {
+    let settings = "register = \"unix:REGISTER\"";
+    let dir = tempfile::Builder::new().prefix("br-").tempdir().expect("a folder");
+    let at = dir.path().join("register.sock").display().to_string();
+    let mut fleet = Fleet::with(1, 4, &[], &settings.replace("REGISTER", &at));
+    fleet.well();
+    let file = dir.path().join("own.toml");
+    let admin = |socket: &str| {
+        let own = dir.path().join(socket).display().to_string();
+        let text = format!("[admin]\nlisten = \"unix:{own}\"\nagent = \"unix:{at}\"\n");
+        std::fs::write(&file, text).expect("room");
+    };
+    let start = |fleet: &Fleet, name: &str, socket: &str| {
+        admin(socket);
+        let text = std::fs::read_to_string(fleet.dir.path().join("n0.json")).expect("there");
+        let mut config: serde_json::Value = serde_json::from_str(&text).expect("JSON");
+        (config["listen"], config["name"]) = ("127.0.0.1:0".into(), name.into());
+        let path = dir.path().join(format!("{socket}.json"));
+        std::fs::write(&path, config.to_string()).expect("room");
+        let words = ["gateway", "--operator", &file.display().to_string()];
+        let log = dir.path().join(format!("{socket}.log"));
+        support::Process::start(&words, Some(&path), &log, &["admin on ", "listening on "]).0
+    };
+    let known = |fleet: &Fleet, name: &str| {
+        let all = fleet.json(&["status"]).json();
+        let all = all["gateways"].as_array().expect("a list").clone();
+        all.into_iter().find(|g| g["name"] == name && g["health"] == "ok")
+    };
+    let _own = start(&fleet, "own", "own");
+    until("it is overseen", || known(&fleet, "own").is_some());
+    let address = known(&fleet, "own").expect("it is")["address"].clone();
+    // Another under its name is refused while it answers, and its orders stay its own.
+    let imposter = start(&fleet, "own", "imposter");
+    until("it is told why", || imposter.logged().contains("own answers at unix:"));
+    assert_eq!(known(&fleet, "own").expect("it is")["address"], address);
+    // On that listener nothing else can be asked.
+    let agent = format!("unix:{at}");
+    let output =
+        std::process::Command::new(support::PROGRAM).args(["--agent", &agent, "drain", "till-0"]).output();
+    let ran = support::Ran::from(output.expect("it runs"));
+    assert_eq!(ran.code, 4);
+    assert!(ran.err.contains("gateways register here"), "{}", ran.err);
+    // It is written down.
+    fleet.kill_agent();
+    fleet.start_agent();
+    until("it is overseen still", || known(&fleet, "own").is_some());
+}
+
 #[test]
 fn the_same_order_a_thousand_times_at_once_is_one() {
     let fleet = Fleet::start(3, 4);
--- a/crates/gateway/src/admin.rs
+++ b/crates/gateway/src/admin.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
-use beechrudder_channel::{BindError, LineError, Lines, Listener};
-use beechrudder_fleet::wire::{Code, Fault, GatewayAsk, GatewaySay, Numbered, LINE_MOST};
-use beechrudder_operator::Admin;
+use beechrudder_channel::{BindError, Dialer, LineError, Lines, Listener};
+use beechrudder_fleet::wire::{Ask, Code, Fault, GatewayAsk, GatewaySay, Numbered, Say, LINE_MOST};
+use beechrudder_fleet::Name;
+use beechrudder_operator::{Address, Admin};
 use std::sync::Arc;
 use tokio::sync::{mpsc, oneshot, Semaphore};
 use tokio::time::{sleep, timeout};
@@ -17,6 +18,10 @@
 const QUIET_MOST: Duration = Duration::from_secs(60);
 /// How long an answer may take to be written.
 const WRITE_MOST: Duration = Duration::from_secs(5);
+/// How long a registration may take.
+const REGISTER_MOST: Duration = Duration::from_secs(2);
+/// Pause between registrations: after one that failed, and after one that did not.
+const REGISTER_EVERY: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(10));
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -50,6 +55,38 @@
     }
 }
 
+/// Tells an agent of this gateway, again and again, until the task ends: the agent may start later, or have
+/// lost what it knew. The same again changes nothing there.
+pub async fn register(agent: Address, name: Name, admin: Address, dialer: Dialer) {
+    let mut told = String::new();
+    loop {
+        let said = match timeout(REGISTER_MOST, tell(&agent, &name, &admin, &dialer)).await {
+            Ok(Ok(())) => String::new(),
+            Ok(Err(why)) => why,
+            Err(_) => "no answer in time".to_string(),
+        };
+        // Each reason once, and not every few seconds.
+        if said != told && !said.is_empty() {
+            eprintln!("slatelock-gateway: register at {agent}: {said}");
+        }
+        sleep(if said.is_empty() { REGISTER_EVERY.1 } else { REGISTER_EVERY.0 }).await;
+        told = said;
+    }
+}
+
+async fn tell(agent: &Address, name: &Name, admin: &Address, dialer: &Dialer) -> Result<(), String> {
+    let lines = dialer.connect(agent, REGISTER_MOST, LINE_MOST).await;
+    let mut lines = lines.map_err(|e| e.to_string())?;
+    let body = Ask::Register { name: name.clone(), address: admin.to_string() };
+    lines.send(&Numbered { n: 1, body }).await.map_err(|e| e.to_string())?;
+    match lines.next::<Numbered<Say>>().await.map_err(|e| e.to_string())? {
+        Some(Numbered { body: Say::Done(_), .. }) => Ok(()),
+        Some(Numbered { body: Say::Fault(fault), .. }) => Err(fault.message),
+        Some(_) => Err("it answered something else".to_string()),
+        None => Err("it ended the connection".to_string()),
+    }
+}
+
 async fn talk(mut lines: Lines, inbox: mpsc::Sender<Input>) {
     loop {
         let (n, said, last) = match timeout(QUIET_MOST, lines.next::<Numbered<GatewayAsk>>()).await {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use beechrudder_channel::Dialer;
 use beechrudder_operator::Admin;
 use slatelock::interface::ListScope;
 use slatelock::Gateway;
@@ -129,7 +130,13 @@
     });
     if let Some(admin) = admin {
         let listener = admin::listen(&admin, &name).await.map_err(|e| format!("admin: {e}"))?;
-        println!("admin on {}", listener.address().map_err(failed("admin"))?);
+        let at = listener.address().map_err(failed("admin"))?;
+        println!("admin on {at}");
+        if let Some(agent) = admin.agent {
+            let named = name.parse().map_err(|e| format!("to register: {e}"))?;
+            let dialer = Dialer::new(admin.tls.as_ref()).map_err(|e| format!("admin: {e}"))?;
+            tokio::spawn(admin::register(agent, named, at, dialer));
+        }
         tokio::spawn(admin::serve(listener, inbox.clone()));
     }
     println!("listening on {}", listener.local_addr().map_err(failed("listen"))?);
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -36,6 +36,9 @@
 pub struct Admin {
     /// Where it listens; [`NAME_MARK`] in a path stands for the gateway's name. Over TCP only with `tls`.
     pub listen: Address,
+    /// Where an agent takes registrations, [`Agent::register`]: the gateway tells it of itself. None: it does
+    /// not.
+    pub agent: Option<Address>,
     /// Certificates, for TCP.
     pub tls: Option<Tls>,
 }
@@ -58,6 +61,8 @@
 pub struct Agent {
     /// Where it listens for tools: a Unix socket.
     pub listen: Address,
+    /// Where gateways register, and can do nothing else. Over TCP only with `tls`. None: they can't.
+    pub register: Option<Address>,
     /// Its log of orders, a file of its own.
     pub log: PathBuf,
     /// The part of the serving backends, and of the gateways that answer, that an order has to leave ready
@@ -180,7 +185,14 @@
                 );
             }
         }
+        let registers = self.admin.as_ref().filter(|a| a.tls.is_none()).and_then(|a| a.agent.as_ref());
+        if registers.is_some_and(Address::is_tcp) {
+            say("admin.agent", "TCP needs [admin.tls]");
+        }
         if let Some(agent) = &self.agent {
+            if agent.tls.is_none() && agent.register.as_ref().is_some_and(Address::is_tcp) {
+                say("agent.register", "TCP needs [agent.tls]");
+            }
             if agent.listen.is_tcp() {
                 say("agent.listen", "a Unix socket is wanted, as in unix:/run/agent.sock");
             }
@@ -248,6 +260,14 @@
             ("[agent]\nlisten = \"unix:/a\"\nlog = \"/b\"\nleast_ready = 2.0", "agent.least_ready: 0 to 1"),
             ("[agent]\nlisten = \"unix:/a\"\nlog = \"/b\"\nfan_out = 0", "agent.fan_out: 1 to 4096"),
             ("[[gateway]]\nname = \"a\"\nadmin = \"tcp:127.0.0.1:7\"", "gateway[0].admin: TCP needs"),
+            (
+                "[admin]\nlisten = \"unix:/a\"\nagent = \"tcp:127.0.0.1:7\"",
+                "admin.agent: TCP needs [admin.tls]",
+            ),
+            (
+                "[agent]\nlisten = \"unix:/a\"\nlog = \"/b\"\nregister = \"tcp:127.0.0.1:7\"",
+                "agent.register: TCP needs [agent.tls]",
+            ),
             ("[adm", "line 1"),
         ];
         for (text, said) in cases {
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -8,6 +8,7 @@
 //!        script::Script: faults by a seed                                which of the five rules
 //! ```
 //!
+//! [`overseen`] has gateways that are nothing but an admin listener, for an agent with a thousand of them;
 //! [`scripted`] has the older stand-ins, whose every message a test answers by hand.
 //!
 //! Nothing here is part of a gateway, and nothing listens on any address but loopback.
@@ -18,6 +19,7 @@
 pub mod counter;
 pub mod discovery;
 pub mod journal;
+pub mod overseen;
 pub mod platform;
 mod resp;
 pub mod script;
--- /dev/null
+++ b/crates/testbed/src/overseen.rs
@@ -0,0 +1,131 @@
+//! A gateway that is nothing but its admin listener: it takes orders in as a real one does, and serves
+//! nobody.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use beechrudder_channel::{BindError, Lines, Listener};
+use beechrudder_fleet::wire::{
+    Applied, BackendState, Figures, GatewayAsk, GatewaySay, GatewayState, Numbered, Verdict, LINE_MOST,
+};
+use beechrudder_fleet::Desired;
+use beechrudder_operator::Address;
+use tokio::task::JoinHandle;
+
+use crate::switch::Switch;
+
+/// A running one. It ends with the value.
+#[derive(Debug)]
+pub struct Overseen {
+    /// What is wrong with it: slow and silent are known here.
+    pub switch: Switch,
+    held: Arc<Mutex<Held>>,
+    task: JoinHandle<()>,
+}
+
+#[derive(Debug)]
+struct Held {
+    name: String,
+    boot: u64,
+    desired: Desired,
+    backends: Vec<BackendState>,
+}
+
+impl Overseen {
+    /// Starts one that lists so many backends, `till-0` and on.
+    ///
+    /// # Errors
+    /// A [`BindError`], if its socket can't be had.
+    pub async fn start(name: &str, boot: u64, at: &Address, backends: usize) -> Result<Overseen, BindError> {
+        let listener = Listener::bind(at, None, LINE_MOST).await?;
+        let row = |i: usize| BackendState {
+            name: format!("till-{i}"),
+            address: format!("127.0.0.1:{}", 1 + i % 60_000),
+            group: (i / 8) as u32,
+            kind: "m".to_string(),
+            zone: "room".to_string(),
+            serving: true,
+            drained_by: None,
+            weight: 1.0,
+            ejected: false,
+            warmth: 1.0,
+            in_flight: 0,
+        };
+        let backends = (0..backends).map(row).collect();
+        let (name, desired) = (name.to_string(), Desired::default());
+        let held = Arc::new(Mutex::new(Held { name, boot, desired, backends }));
+        let (switch, serving) = (Switch::default(), Arc::clone(&held));
+        let faults = switch.clone();
+        let task = tokio::spawn(async move {
+            let mut talks = tokio::task::JoinSet::new();
+            while let Ok(arrival) = listener.accept().await {
+                let (held, faults) = (Arc::clone(&serving), faults.clone());
+                talks.spawn(async move {
+                    if let Ok(lines) = arrival.open().await {
+                        talk(lines, &held, &faults).await;
+                    }
+                });
+                while talks.try_join_next().is_some() {}
+            }
+        });
+        Ok(Overseen { switch, held, task })
+    }
+
+    /// Whether an order drains a backend here.
+    #[must_use]
+    pub fn drained(&self, backend: &str) -> bool {
+        let held = self.held.lock().unwrap_or_else(PoisonError::into_inner);
+        held.desired.effect(backend, u32::MAX, "").drained_by.is_some()
+    }
+}
+
+impl Drop for Overseen {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn talk(mut lines: Lines, held: &Mutex<Held>, faults: &Switch) {
+    while let Ok(Some(Numbered { n, body })) = lines.next::<Numbered<GatewayAsk>>().await {
+        faults.delay().await;
+        let body = held.lock().unwrap_or_else(PoisonError::into_inner).answer(body);
+        if lines.send(&Numbered { n, body }).await.is_err() {
+            return;
+        }
+    }
+}
+
+impl Held {
+    fn answer(&mut self, ask: GatewayAsk) -> GatewaySay {
+        match ask {
+            GatewayAsk::Inflight { .. } => GatewaySay::Inflight(0),
+            GatewayAsk::Adopt { snapshot } => {
+                self.desired.adopt(&snapshot);
+                self.applied(Vec::new())
+            }
+            GatewayAsk::Apply { orders } => {
+                let verdict = |order: &beechrudder_fleet::Order| Verdict {
+                    id: order.id.clone(),
+                    outcome: self.desired.apply(order),
+                    matched: 1,
+                };
+                let verdicts = orders.iter().map(verdict).collect();
+                self.applied(verdicts)
+            }
+            GatewayAsk::State { backends } => GatewaySay::State(GatewayState {
+                name: self.name.clone(),
+                version: env!("CARGO_PKG_VERSION").to_string(),
+                boot: self.boot,
+                holds: self.desired.revision(),
+                last_order: None,
+                drained_by: None,
+                list: 1,
+                figures: Figures { listed: self.backends.len() as u32, ..Figures::default() },
+                backends: backends.then(|| self.backends.clone()),
+            }),
+        }
+    }
+
+    fn applied(&self, verdicts: Vec<Verdict>) -> GatewaySay {
+        GatewaySay::Applied(Applied { boot: self.boot, holds: self.desired.revision(), verdicts })
+    }
+}
