--- a/crates/beechrudder/tests/faults.rs
+++ b/crates/beechrudder/tests/faults.rs
@@ -1,5 +1,5 @@
-//! Everything at once: a load, faults by a seeded script, orders, gateways and an agent that are killed. Every
-//! request that a gateway took gets one final answer, and no rule breaks.
+//! Everything at once: a load, faults by a seeded script, orders, and an agent that is killed. Every request
+//! that a gateway took gets one final answer, and no rule breaks.
 
 mod support;
 
