Testbed: clients that leave, stall or write half a command, as their switch says

Need: backends, discovery and the counter could be made to fail on command, clients could not.

Change: a load has a switch. Slow clients write a command in two halves, silent ones half of it, resetting ones leave once it is written. A test plays these on one load beside another that is well.

--- a/crates/beechrudder/src/up/show.rs
+++ b/crates/beechrudder/src/up/show.rs
@@ -62,7 +62,7 @@
 
 /// The status line.
 pub fn status(tally: &Tally, per_second: f64, load: &Load) -> String {
-    let Tally { asked, served, refused, failed, lost, held_back } = tally;
+    let Tally { asked, served, refused, failed, lost, held_back, .. } = tally;
     let rate = if per_second > 0.0 { format!(" ({per_second:.0}/s)") } else { String::new() };
     let held = if *held_back > 0 { format!(", {held_back} held back") } else { String::new() };
     let (p50, p99) = (load.latency_ms(0.5), load.latency_ms(0.99));
--- a/crates/beechrudder/tests/faults.rs
+++ b/crates/beechrudder/tests/faults.rs
@@ -60,3 +60,25 @@
     assert!(tally.served * 2 > tally.asked, "{seed:#x}: hardly anything was served: {tally:?}");
     fleet.judge();
 }
+
+#[test]
+fn clients_that_leave_stall_or_write_half_a_command_cost_others_nothing() {
+    let fleet = Fleet::start(2, 4);
+    fleet.well();
+    // So that something is in flight when a client leaves.
+    fleet.backends.iter().for_each(|b| b.switch.set(Fault::Slow(Duration::from_millis(30))));
+    let (bad, good) = (fleet.load(2, 100.0), fleet.load_from(2, 100.0, 1 << 41));
+    for fault in [Fault::Resetting, Fault::Silent, Fault::Slow(Duration::from_millis(50)), Fault::Resetting] {
+        bad.load.switch.set(fault);
+        let then = good.load.tally().served;
+        until("the others are served", || good.load.tally().served > then + 60);
+    }
+    bad.load.switch.set(Fault::Well);
+    let then = bad.load.tally().served;
+    until("they are served as well", || bad.load.tally().served > then + 30);
+    let (bad, good) = (fleet.finish(bad), fleet.finish(good));
+    assert!(bad.left > 60, "{bad:?}");
+    assert_eq!((bad.lost, good.lost, good.left), (0, 0, 0), "{bad:?} {good:?}");
+    until("nothing is left open", || (0..2).all(|place| fleet.state(place).figures.requests == 0));
+    fleet.judge();
+}
--- a/crates/beechrudder/tests/support/mod.rs
+++ b/crates/beechrudder/tests/support/mod.rs
@@ -322,8 +322,13 @@
 
     /// A load over the first so many gateways.
     pub fn load(&self, gateways: usize, rate: f64) -> Loading {
+        self.load_from(gateways, rate, 1 << 40)
+    }
+
+    /// The same with ids from this on, for a second load.
+    pub fn load_from(&self, gateways: usize, rate: f64, first_id: u64) -> Loading {
         let addresses = self.gateways.iter().take(gateways).map(|g| g.address).collect();
-        let load = Load::new(addresses, 1 << 40, self.journal.clone());
+        let load = Load::new(addresses, first_id, self.journal.clone());
         let plan = Plan { rate, ..Plan::default() };
         let (end, ended) = oneshot::channel::<()>();
         let running = load.clone();
--- a/crates/testbed/src/client.rs
+++ b/crates/testbed/src/client.rs
@@ -10,15 +10,18 @@
 use redis_protocol::resp2::types::BytesFrame;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::time::{interval, timeout, Instant, MissedTickBehavior};
+use tokio::time::{interval, sleep, timeout, Instant, MissedTickBehavior};
 
 use crate::journal::{Answer, Class, Event, Journal};
 use crate::platform::{CLASSES, DEADLINE_MS, PLANS};
 use crate::resp;
+use crate::switch::{Fault, Switch};
 use crate::Dice;
 
 /// How long past its deadline a request may stay without an answer before it counts as lost.
 const GRACE: Duration = Duration::from_millis(1_500);
+/// How long a client that leaves stays.
+const LEAVE_AFTER: Duration = Duration::from_millis(5);
 /// Requests of one load that may be open; more are not begun, and counted as held back.
 const OPEN_MOST: usize = 512;
 /// Connections to one gateway that are kept while nothing is open on them.
@@ -58,6 +61,8 @@
     pub failed: u64,
     /// Without a whole answer, or with an odd one.
     pub lost: u64,
+    /// Left by their client, as its switch said.
+    pub left: u64,
     /// Not begun, as too many were open.
     pub held_back: u64,
 }
@@ -69,6 +74,7 @@
     refused: AtomicU64,
     failed: AtomicU64,
     lost: AtomicU64,
+    left: AtomicU64,
     held_back: AtomicU64,
     open: AtomicUsize,
 }
@@ -76,6 +82,9 @@
 /// A load over some gateways.
 #[derive(Clone, Debug)]
 pub struct Load {
+    /// What is wrong with the clients: slow ones write a command in two halves, silent ones write half of it
+    /// and no more, resetting ones leave once it is written. All else is as well.
+    pub switch: Switch,
     gateways: Arc<Vec<SocketAddr>>,
     idle: Arc<Vec<Mutex<Vec<TcpStream>>>>,
     counts: Arc<Counts>,
@@ -96,7 +105,8 @@
         let latencies =
             Histogram::new_with_max(60_000_000, 3).unwrap_or_else(|_| unreachable!("good bounds"));
         let latencies = Arc::new(Mutex::new(latencies));
-        Load { gateways, idle, counts: Arc::default(), latencies, journal, first_id }
+        let (switch, counts) = (Switch::default(), Arc::default());
+        Load { switch, gateways, idle, counts, latencies, journal, first_id }
     }
 
     /// Answers so far.
@@ -110,6 +120,7 @@
             refused: get(&c.refused),
             failed: get(&c.failed),
             lost: get(&c.lost),
+            left: get(&c.left),
             held_back: get(&c.held_back),
         }
     }
@@ -176,12 +187,17 @@
         self.journal.note(Event::Asked { id, customer, class: kind, units: 1.0, gateway });
         let began = Instant::now();
         let most = Duration::from_secs_f64(DEADLINE_MS / 1000.0) + GRACE;
-        let answer = timeout(most, self.exchange(gateway, &command, id)).await.unwrap_or(Answer::Lost);
+        let answer = match self.switch.now() {
+            Fault::Resetting => self.leave(gateway, &command).await,
+            Fault::Silent => self.leave(gateway, &command[..command.len() / 2]).await,
+            _ => timeout(most, self.exchange(gateway, &command, id)).await.unwrap_or(Answer::Lost),
+        };
         let count = match answer {
             Answer::Served => &self.counts.served,
             Answer::Refused(_) => &self.counts.refused,
             Answer::Failed | Answer::Unreached => &self.counts.failed,
             Answer::Lost | Answer::Odd => &self.counts.lost,
+            Answer::Left => &self.counts.left,
         };
         count.fetch_add(1, Ordering::Relaxed);
         if answer == Answer::Served {
@@ -193,6 +209,16 @@
         answer
     }
 
+    /// Writes some bytes of a command and closes with a reset, after a while in which nothing more comes.
+    async fn leave(&self, gateway: usize, bytes: &[u8]) -> Answer {
+        if let Ok(mut stream) = TcpStream::connect(self.gateways[gateway]).await {
+            let _ = stream.write_all(bytes).await;
+            sleep(LEAVE_AFTER).await;
+            let _ = stream.set_zero_linger();
+        }
+        Answer::Left
+    }
+
     async fn exchange(&self, gateway: usize, command: &[u8], id: u64) -> Answer {
         let idle = self.idle[gateway].lock().unwrap_or_else(PoisonError::into_inner).pop();
         // A kept connection that the gateway closes as the request crosses has not read it: once more, on a
@@ -216,7 +242,14 @@
 
     /// `None` if the connection ended with no byte of an answer.
     async fn talk(&self, gateway: usize, mut stream: TcpStream, command: &[u8], id: u64) -> Option<Answer> {
-        stream.write_all(command).await.ok()?;
+        let (first, second) = command.split_at(command.len() / 2);
+        if let Fault::Slow(by) = self.switch.now() {
+            stream.write_all(first).await.ok()?;
+            sleep(by).await;
+            stream.write_all(second).await.ok()?;
+        } else {
+            stream.write_all(command).await.ok()?;
+        }
         let mut buffer = BytesMut::new();
         let Some(message) = resp::read(&mut stream, &mut buffer).await else {
             return if buffer.is_empty() { None } else { Some(Answer::Odd) };
--- a/crates/testbed/src/journal.rs
+++ b/crates/testbed/src/journal.rs
@@ -40,6 +40,8 @@
     Lost,
     /// Bytes that are no answer.
     Odd,
+    /// None is owed: the client left before one came.
+    Left,
     /// No gateway accepted the connection, so none has taken the request.
     Unreached,
 }
