Routing: an index of backends in place of scans, with subsets and a few choices

Cause: choose looked at every backend several times over and ran twice for each request, and silence and reports walked the list as well: 8 backends 22 to 31 us of CPU a request, 4,000 380 to 590.

Change: a crate of its own, crates/routing, without I/O or clock: slots by number, groups (fleet, home, zone, cell, type) kept up to date by events, the push of warm backends as a sum that fades, agendas for who is warm and who may be silent, and subsets by rendezvous hashing from the backends' side, so that each backend has equal numbers of gateways. The decisions draw candidates from it: all of up to 16, else 8 of the home, and of the fleet where the home is mostly ejected. The choice that found room is the one that is sent to, if no call to the counter comes between. A backend that was tried comes last, whatever the others have out. Backends are hashed by their names, as numbers are each gateway's own.

--- /dev/null
+++ b/crates/beechrudder/examples/measure_gateway.rs
@@ -0,0 +1,185 @@
+//! Measures a gateway's CPU a request, over that of a bare forwarder in the same run, as the list grows:
+//! `cargo run --release --example measure_gateway [BACKENDS ...]`, after `cargo build --release`.
+//!
+//! Each is a process of its own, under 32 clients that ask one request after the other; rounds go over all of
+//! them in turn, so that what else the machine does falls on all alike. There are the forwarder
+//! (`tokio::io::copy_bidirectional`, one connection to a backend for each client's) and a gateway for each
+//! length of the list, as one of sixty and as the only one.
+
+use std::error::Error;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use beechrudder_testbed::backend::{Backend, Spec};
+use beechrudder_testbed::client::Load;
+use beechrudder_testbed::counter::Counter;
+use beechrudder_testbed::discovery::Discovery;
+use beechrudder_testbed::journal::{Answer, Journal};
+use beechrudder_testbed::platform;
+use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+
+type Any = Box<dyn Error + Send + Sync>;
+
+const CLIENTS: usize = 32;
+const ROUNDS: usize = 5;
+const ROUND: Duration = Duration::from_secs(3);
+/// Gateways that there are said to be: one of a large fleet keeps to its part of the backends.
+const FLEETS: [usize; 2] = [60, 1];
+
+struct Process(Child);
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// Starts a process; gives what follows `begin` on the first line that it says.
+async fn start(mut command: Command, begin: &str) -> Result<(Process, String), Any> {
+    let mut child = command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::null()).spawn()?;
+    let said = child.stdout.take().ok_or("no output")?;
+    let process = Process(child);
+    let mut lines = BufReader::new(tokio::process::ChildStdout::from_std(said)?).lines();
+    let line = lines.next_line().await?.ok_or("it ended")?;
+    Ok((process, line.strip_prefix(begin).ok_or("it said something else")?.to_string()))
+}
+
+/// CPU that a process has taken, us.
+fn cpu_us(pid: u32) -> Result<f64, Any> {
+    let mut sum = 0.0;
+    for task in fs::read_dir(format!("/proc/{pid}/task"))? {
+        let text = fs::read_to_string(task?.path().join("schedstat"))?;
+        sum += text.split(' ').next().ok_or("no time")?.parse::<f64>()? / 1000.0;
+    }
+    Ok(sum)
+}
+
+fn memory_mb(pid: u32) -> Result<f64, Any> {
+    let text = fs::read_to_string(format!("/proc/{pid}/status"))?;
+    let line = text.lines().find_map(|l| l.strip_prefix("VmHWM:")).ok_or("no such line")?;
+    Ok(line.trim().trim_end_matches("kB").trim().parse::<f64>()? / 1024.0)
+}
+
+/// Forwards each connection to a backend, until the process ends.
+async fn forward(to: SocketAddr) -> Result<(), Any> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    println!("listening on {}", listener.local_addr()?);
+    loop {
+        let (mut client, _) = listener.accept().await?;
+        client.set_nodelay(true)?;
+        tokio::spawn(async move {
+            let mut backend = TcpStream::connect(to).await?;
+            backend.set_nodelay(true)?;
+            tokio::io::copy_bidirectional(&mut client, &mut backend).await
+        });
+    }
+}
+
+async fn gateway(dir: &Path, all: &[Backend], listed: usize, fleet: usize) -> Result<Front, Any> {
+    let (discovery, counter) = (Discovery::start().await?, Counter::start().await?);
+    all.iter().take(listed).for_each(|b| discovery.list(b, "SERVING"));
+    let known = discovery.known();
+    let config = platform::config(0, fleet, discovery.address, counter.address, &known, None);
+    let path = dir.join(format!("g{fleet}-{listed}.json"));
+    fs::write(&path, config.to_string())?;
+    let mut command = Command::new(program()?);
+    command.arg("gateway").env("GW_CONFIG", &path);
+    let (process, address) = start(command, "listening on ").await?;
+    let name = format!("{listed} backends, gateway 1 of {fleet}");
+    Ok(Front { name, process, address: address.parse()?, _around: Some((discovery, counter)) })
+}
+
+/// The built program, beside the folder that this example is in.
+fn program() -> Result<PathBuf, Any> {
+    let here = std::env::current_exe()?;
+    Ok(here.parent().and_then(Path::parent).ok_or("no folder")?.join("beechrudder"))
+}
+
+struct Front {
+    name: String,
+    process: Process,
+    address: SocketAddr,
+    _around: Option<(Discovery, Counter)>,
+}
+
+/// Asks for a while; gives requests served and CPU a request, us.
+async fn round(front: &Front, first_id: u64, journal: &Journal) -> Result<(u64, f64), Any> {
+    let load = Load::new(vec![front.address], first_id, journal.clone());
+    let (before, begun) = (cpu_us(front.process.0.id())?, Instant::now());
+    let mut tasks = tokio::task::JoinSet::new();
+    for client in 0..CLIENTS as u64 {
+        let load = load.clone();
+        tasks.spawn(async move {
+            let (mut id, mut served) = (first_id + (client << 24), 0);
+            while begun.elapsed() < ROUND {
+                served += u64::from(load.one(0, id, client, 0, 0).await == Answer::Served);
+                id += 1;
+            }
+            served
+        });
+    }
+    let served: u64 = tasks.join_all().await.into_iter().sum();
+    Ok((served, (cpu_us(front.process.0.id())? - before) / served.max(1) as f64))
+}
+
+fn median(all: &[f64]) -> f64 {
+    let mut all = all.to_vec();
+    all.sort_by(f64::total_cmp);
+    all[all.len() / 2]
+}
+
+#[tokio::main(flavor = "multi_thread", worker_threads = 2)]
+async fn main() -> Result<(), Any> {
+    let words: Vec<String> = std::env::args().skip(1).collect();
+    if let [word, to] = &words[..] {
+        if word == "forward" {
+            return forward(to.parse()?).await;
+        }
+    }
+    let mut lengths = words.iter().map(|w| w.parse()).collect::<Result<Vec<usize>, _>>()?;
+    if lengths.is_empty() {
+        lengths = vec![8, 80, 800, 4_000];
+    }
+    let (dir, journal) = (tempfile::tempdir()?, Journal::new(0));
+    let mut all = Vec::new();
+    for i in 0..lengths.iter().copied().max().unwrap_or(8) {
+        let spec = Spec { takes: Duration::ZERO, slots: 64, ..Spec::plain(i) };
+        all.push(Backend::start(spec, journal.clone()).await?);
+    }
+    let mut command = Command::new(std::env::current_exe()?);
+    command.args(["forward", &all[0].address.to_string()]);
+    let (process, address) = start(command, "listening on ").await?;
+    let mut fronts =
+        vec![Front { name: "forwarder".to_string(), process, address: address.parse()?, _around: None }];
+    for fleet in FLEETS {
+        for listed in &lengths {
+            fronts.push(gateway(dir.path(), &all, *listed, fleet).await?);
+        }
+    }
+    let mut costs = vec![Vec::new(); fronts.len()];
+    let mut served = vec![0; fronts.len()];
+    for r in 0..=ROUNDS {
+        for (place, front) in fronts.iter().enumerate() {
+            let first_id = ((r * fronts.len() + place + 1) as u64) << 32;
+            let (count, cost) = round(front, first_id, &journal).await?;
+            // The first round opens connections.
+            if r > 0 {
+                costs[place].push(cost);
+                served[place] += count;
+            }
+        }
+    }
+    let forwarder = median(&costs[0]);
+    println!("{:<36} {:>9} {:>9} {:>11} {:>8}", "", "us CPU", "x forw.", "requests/s", "peak MB");
+    for ((front, costs), served) in fronts.iter().zip(&costs).zip(served) {
+        let (cost, rate) = (median(costs), served as f64 / (ROUND.as_secs_f64() * ROUNDS as f64));
+        let memory = memory_mb(front.process.0.id())?;
+        println!("{:<36} {cost:>9.1} {:>9.2} {rate:>11.0} {memory:>8.1}", front.name, cost / forwarder);
+    }
+    Ok(())
+}
--- a/crates/benchlink/src/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -255,9 +255,13 @@
         3 => Readiness::Gone,
         other => return Err(Malformed::new(format!("Directory: unknown state {other}"))),
     };
+    let id = f.u32("Directory")?;
     Ok(BackendEntry {
         state,
-        id: f.u32("Directory")?,
+        id,
+        // Numbers are the same at all gateways here.
+        key: u64::from(id),
+        kind: 0,
         cell: u32::from(f.u16("Directory")?),
         zone: u32::from(f.u8("Directory")?),
         started_ms: f.f64("Directory")?,
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -122,6 +122,9 @@
             state,
             cell: endpoint.group,
             zone: zone.map_or(u32::MAX, |z| z as u32),
+            // Numbers are this gateway's own; names are everybody's.
+            key: hash(&endpoint.name),
+            kind: hash(&endpoint.kind) as u32,
             started_ms: endpoint.since_ms,
             weight: endpoint.weight,
             share: (row.effect.weight / self.greatest).min(1.0),
@@ -149,6 +152,12 @@
     desired.effect(&endpoint.name, endpoint.group, &endpoint.kind)
 }
 
+/// FNV-1a (Fowler, Noll and Vo, 1991): the same in every build, as gateways of several may share a fleet.
+fn hash(name: &str) -> u64 {
+    let step = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    name.bytes().fold(0xcbf2_9ce4_8422_2325, step)
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- /dev/null
+++ b/crates/routing/tests/subset.rs
@@ -0,0 +1,70 @@
+//! Balance and movement of the subsets.
+
+use beechrudder_routing::Subset;
+use proptest::prelude::*;
+
+/// Thresholds of backends at a gateway; they don't change with the backends' number.
+fn thresholds(me: u32, gateways: u32, backends: u32) -> Vec<f64> {
+    let subset = Subset::new(me, gateways, 64, 3);
+    (0..backends).map(|b| subset.threshold(u64::from(b))).collect()
+}
+
+fn degree(gateways: u32, backends: usize) -> f64 {
+    Subset::new(0, gateways, 64, 3).degree(backends)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 24, ..ProptestConfig::default() })]
+
+    #[test]
+    fn each_backend_has_as_many_gateways_as_any_other(gateways in 1u32..=120, backends in 1u32..=2_000) {
+        let all: Vec<Vec<f64>> = (0..gateways).map(|me| thresholds(me, gateways, backends)).collect();
+        let degree = degree(gateways, backends as usize);
+        prop_assert!(degree >= f64::from(gateways.min(3)) && degree <= f64::from(gateways));
+        for b in 0..backends as usize {
+            let has = all.iter().filter(|t| t[b] < degree).count();
+            prop_assert!(has == degree.floor() as usize || has == degree.ceil() as usize);
+        }
+        // Homes differ by chance alone: five deviations of a binomial spread.
+        let mean = degree * f64::from(backends) / f64::from(gateways);
+        for t in &all {
+            let size = t.iter().filter(|t| **t < degree).count() as f64;
+            prop_assert!((size - mean).abs() <= 5.0 * mean.sqrt() + 1.0, "{} of {}", size, mean);
+        }
+    }
+
+    #[test]
+    fn one_backend_more_or_less_moves_no_more_than_its_own_gateways(
+        gateways in 1u32..=500, backends in 1u32..=10_000,
+    ) {
+        // Seen from one gateway: what it gains or loses in the mean is its part of the degree.
+        let t = thresholds(gateways / 2, gateways, backends);
+        let (with, without) = (degree(gateways, backends as usize), degree(gateways, backends as usize - 1));
+        let moved = t.iter().filter(|t| (**t < with) != (**t < without)).count() as f64;
+        let mean = (with - without).abs() * f64::from(backends) / f64::from(gateways);
+        prop_assert!(moved <= mean + 5.0 * mean.sqrt() + 3.0, "{} moved, {} on the mean", moved, mean);
+        prop_assert!(mean <= 64.0 * 1.01 / f64::from(backends.max(2) - 1) + 1e-9, "{}", mean);
+    }
+
+    #[test]
+    fn one_gateway_more_takes_its_part_and_the_others_keep_theirs(
+        gateways in 2u32..=500, backends in 100u32..=3_000,
+    ) {
+        let (me, k) = (gateways / 2, 3.0);
+        let (before, after) = (thresholds(me, gateways, backends), thresholds(me, gateways + 1, backends));
+        // At the same degree only what the new one takes goes; nothing comes.
+        let pairs = || before.iter().zip(&after);
+        prop_assert_eq!(pairs().filter(|(b, a)| **b >= k && **a < k).count(), 0);
+        let lost = pairs().filter(|(b, a)| **b < k && **a >= k).count() as f64;
+        let had = before.iter().filter(|b| **b < k).count() as f64;
+        let mean = had / f64::from(gateways + 1);
+        prop_assert!(lost <= mean + 5.0 * mean.sqrt() + 3.0, "{} lost of {}", lost, had);
+    }
+}
+
+#[test]
+fn one_gateway_alone_has_all_and_a_small_fleet_is_everybodys() {
+    assert!(thresholds(0, 1, 4_000).into_iter().all(|t| t < degree(1, 4_000)));
+    assert!(thresholds(7, 60, 40).into_iter().all(|t| t < degree(60, 40)));
+    assert_eq!(degree(60, 1_000), 3.84);
+}
--- a/crates/slatelock/src/control.rs
+++ b/crates/slatelock/src/control.rs
@@ -3,8 +3,9 @@
 //! the design and what was added.
 
 use crate::interface::*;
-use crate::state::{mix, part, roll, Attempt, Backend, Call, Customer, End, Fleet, Held, Ratio};
-use std::collections::{HashMap, VecDeque};
+use crate::state::{mix, part, roll, Attempt, Backend, Call, Choice, Customer, End, Fleet, Held, Ratio};
+use beechrudder_routing::{From, Index, Reach, Subset};
+use std::collections::{HashMap, HashSet, VecDeque};
 
 /// Part of an even share of burst and rate that a gateway spends before it calls (the design's tenth).
 const LOCAL_PART: f64 = 0.1;
@@ -85,7 +86,11 @@
     call_eased: f64,
     call_changed: f64,
     call_least: f64,
-    pub(crate) backends: Vec<Backend>,
+    pub(crate) backends: Index<Backend>,
+    /// Candidates of the choice that is being made.
+    picks: Vec<usize>,
+    /// The longest aim and deadline of all classes.
+    longest: (f64, f64),
     /// Units of requests that came.
     mean_units: Ratio,
     class_latency: Vec<Ratio>,
@@ -105,7 +110,13 @@
         let prior = |c: &Class| Ratio { seen: unseen(c) * UNSEEN_WEIGHT, expected: UNSEEN_WEIGHT };
         let class_work: Vec<f64> = settings.classes.iter().map(unseen).collect();
         let (mean_work, bearable) = (class_work[0], HEADROOM / UNSEEN_LATENCY);
+        let r = &settings.routing;
+        let subset = Subset::new(settings.me, settings.gateways, r.subset, r.coverage);
+        let reach = Reach { whole: r.whole, choices: r.choices };
+        let longest = |time: fn(&Class) -> f64| settings.classes.iter().map(time).fold(1.0, f64::max);
         Ok(Gateway {
+            backends: Index::new(subset, reach, settings.slow_start.overload_for_ms),
+            longest: (longest(|c| c.aim_ms), longest(|c| c.deadline_ms)),
             class_latency: settings.classes.iter().map(prior).collect(),
             class_work,
             mean_units: Ratio::default(),
@@ -120,7 +131,7 @@
             call_eased: now,
             call_changed: now,
             call_least: f64::MAX,
-            backends: Vec::new(),
+            picks: Vec::new(),
             fleet: Fleet { at: now, calm: 1.0, mean_work, bearable, ..Fleet::default() },
             retry_budget: RETRY_BUDGET.1,
         })
@@ -141,6 +152,7 @@
             Event::Ended { id, attempt, backend, outcome, latency_ms, closed, metered, charged, load } => {
                 self.report(now, backend, load);
                 self.ended(now, &End { id, attempt, outcome, latency: latency_ms, charged, metered });
+                self.forget(now, backend);
                 self.after(now, id, closed, actions);
             }
             Event::StreamStarted { id, attempt, backend } => {
@@ -152,8 +164,10 @@
             Event::Probed { backend, outcome, load } => {
                 self.report(now, backend, load);
                 let restart = self.settings.slow_start.overload_for_ms;
-                if let Some(b) = self.backend(backend).filter(|b| b.ejected && outcome == Outcome::Ok) {
-                    b.readmit(now, restart);
+                let place = self.backends.find(backend).filter(|p| self.backends.get(*p).ejected);
+                if let Some(place) = place.filter(|_| outcome == Outcome::Ok) {
+                    self.backends.update(now, place, |b| b.readmit(now, restart));
+                    self.backends.watch(place, now);
                 }
             }
             Event::Counted { name, outcome, total } => self.counted(now, name, outcome, total, actions),
@@ -339,19 +353,20 @@
         // Danger: what is only assumed of others refuses, so that no call is made that would tell better.
         let doubtful = c.level < units && c.level + c.assumed >= units;
         let over_quota = c.plan.rate > 0.0 && c.level < units && !doubtful;
-        if over_open || over_ceiling || over_quota || !self.room(now, id) {
+        let chosen = if over_open || over_ceiling || over_quota { None } else { self.room(now, id) };
+        if chosen.is_none() {
             return self.give_up(now, id, actions);
         }
         let c = self.customers.get_mut(&customer).expect("just put there");
         if c.plan.rate <= 0.0 {
-            return self.forward(now, id, actions);
+            return self.forward(now, id, chosen, actions);
         }
         let held = self.requests.get_mut(&id).expect("held");
         if !doubtful && (c.width <= 1.0 || c.local >= units) {
             c.local -= units;
             held.charge = units;
             c.spend(units);
-            return self.forward(now, id, actions);
+            return self.forward(now, id, chosen, actions);
         }
         // Danger: more calls than a counter can take, or one that is down. While calls fail or wait, fewer
         // are made, and first left out are those that decide nothing: of customers who, as far as anyone
@@ -369,7 +384,7 @@
             held.charge = units;
             if self.settings.counter && calm {
                 c.spend(units);
-                return self.forward(now, id, actions);
+                return self.forward(now, id, chosen, actions);
             }
             return self.uncounted(now, id, actions);
         }
@@ -418,7 +433,8 @@
                 return self.give_up(now, id, actions);
             }
         }
-        self.forward(now, id, actions);
+        let chosen = self.choose(now, id);
+        self.forward(now, id, chosen, actions);
     }
 
     fn counted(&mut self, now: f64, name: u64, outcome: Outcome, total: f64, actions: &mut Vec<Action>) {
@@ -465,7 +481,8 @@
             None => return,
         }
         if covered {
-            return self.forward(now, call.id, actions);
+            let chosen = self.choose(now, call.id);
+            return self.forward(now, call.id, chosen, actions);
         }
         self.give_up(now, call.id, actions);
         // Danger: refused charges that stand in the total empty the stores of all gateways, and their stores
@@ -526,8 +543,9 @@
 }
 
 impl Backend {
-    fn new(entry: &BackendEntry) -> Self {
-        Backend { started: entry.started_ms, entry: entry.clone(), ..Backend::default() }
+    fn new(entry: &BackendEntry, s: &Settings) -> Self {
+        let (started, warm_up) = (entry.started_ms, s.slow_start.warm_up_ms);
+        Backend { started, warm_up, entry: entry.clone(), ..Backend::default() }
     }
 
     fn ready(&self) -> bool {
@@ -558,11 +576,6 @@
         }
         (self.ejected, self.failures, self.heard) = (false, 0.0, now);
     }
-
-    fn pushed(&self, now: f64, s: &Settings) -> f64 {
-        let window = s.slow_start.overload_for_ms.max(1.0);
-        self.pushed * (-(now - self.pushed_at) / window).exp()
-    }
 }
 
 impl Gateway {
@@ -573,32 +586,58 @@
             actions.push(Action::Timer { token: WATCH, at_ms: now + wait });
         }
         if matches!(scope, ListScope::Full | ListScope::Cached) {
-            self.backends.iter_mut().for_each(|b| b.entry.state = Readiness::Gone);
-        }
-        for entry in entries {
-            let place = self.backends.binary_search_by_key(&entry.id, |b| b.entry.id);
-            match place.map(|place| &mut self.backends[place]) {
-                Err(place) => self.backends.insert(place, Backend::new(entry)),
-                // Danger: what was learned of the process before says nothing of this one.
-                Ok(b) if entry.started_ms > b.entry.started_ms => {
-                    *b = Backend { out: b.out, heard: b.heard, ..Backend::new(entry) };
-                }
-                Ok(b) => b.entry = entry.clone(),
+            let named: HashSet<u32> = entries.iter().map(|e| e.id).collect();
+            let ids = self.backends.places().map(|place| self.backends.get(place).entry.id);
+            let gone: Vec<u32> = ids.filter(|id| !named.contains(id)).collect();
+            for id in gone {
+                self.relist(now, &BackendEntry { id, state: Readiness::Gone, ..BackendEntry::default() });
             }
         }
-        self.backends.retain(|b| b.entry.state != Readiness::Gone || b.out > 0.0);
+        entries.iter().for_each(|entry| self.relist(now, entry));
+    }
+
+    /// Takes in a line of the list.
+    fn relist(&mut self, now: f64, entry: &BackendEntry) {
+        let gone = entry.state == Readiness::Gone;
+        let Some(place) = self.backends.find(entry.id) else {
+            if !gone {
+                self.backends.insert(now, Backend::new(entry, &self.settings));
+            }
+            return;
+        };
+        let b = self.backends.get(place);
+        if gone {
+            self.backends.update(now, place, |b| b.entry.state = entry.state);
+        } else if entry.started_ms > b.entry.started_ms {
+            // Danger: what was learned of the process before says nothing of this one.
+            let new = Backend { out: b.out, heard: b.heard, ..Backend::new(entry, &self.settings) };
+            self.backends.renew(now, place, new);
+        } else {
+            self.backends.update(now, place, |b| b.entry = entry.clone());
+        }
+        self.backends.watch(place, now);
+        self.forget(now, entry.id);
+    }
+
+    /// Forgets a backend that is gone and has nothing out.
+    fn forget(&mut self, now: f64, id: u32) {
+        let Some(place) = self.backends.find(id) else { return };
+        let b = self.backends.get(place);
+        if b.entry.state == Readiness::Gone && b.out <= 0.0 {
+            self.backends.remove(now, place);
+        }
     }
 
     fn backend(&mut self, id: u32) -> Option<&mut Backend> {
-        self.backends.iter_mut().find(|b| b.entry.id == id)
+        let place = self.backends.find(id)?;
+        Some(self.backends.learn(place))
     }
 
     fn report(&mut self, now: f64, id: u32, load: &[f32]) {
-        let fields = self.settings.load_fields.clone();
-        let place = self.backends.iter().position(|b| b.entry.id == id);
-        let Some(b) = place.map(|p| &mut self.backends[p]).filter(|_| !load.is_empty()) else { return };
+        let place = self.backends.find(id).filter(|_| !load.is_empty());
+        let Some(b) = place.map(|p| self.backends.learn(p)) else { return };
         b.heard = now;
-        for (field, value) in fields.iter().zip(load) {
+        for (field, value) in self.settings.load_fields.iter().zip(load) {
             match (field, f64::from(*value)) {
                 (LoadField::Waiting, n) if n.is_finite() => b.waiting = n.max(0.0),
                 (LoadField::Active, n) if n.is_finite() => b.waiting = (n - b.out).max(0.0),
@@ -612,7 +651,7 @@
     /// Slowness of a backend against what is expected of a request, by its own answers and, as they
     /// age, by the fleet's.
     fn slowness(&self, b: &Backend, now: f64) -> f64 {
-        let longest = self.longest(|c| c.deadline_ms);
+        let longest = self.longest.1;
         let keep = (-(now - b.judged) / (2.0 * longest)).exp().max(f64::EPSILON);
         b.latency.with_prior(self.fleet.slowness(), self.fleet.mean_work * PRIOR / keep)
     }
@@ -636,95 +675,155 @@
 
     /// The backend of least expected finish for a further attempt of a request, with that finish.
     fn choose(&mut self, now: f64, id: u64) -> Option<(usize, f64)> {
-        let held = self.requests.get(&id)?.clone();
+        self.backends.advance(now);
+        let (mut dice, mut picks) = (self.rng, std::mem::take(&mut self.picks));
+        picks.clear();
+        let held = self.requests.get(&id);
+        let best = held.and_then(|held| self.best(now, held, &mut dice, &mut picks));
+        (self.rng, self.picks) = (dice, picks);
+        best.map(|best| (best.place, best.slow))
+    }
+
+    /// Draws candidates until one may be taken, and gives the best. Danger: a home that is mostly ejected
+    /// pushes over what is left of it, so work spills over to the whole fleet. Ejections are passed over only
+    /// where most of the fleet has them: one gateway's view of its home is no view of the fleet.
+    fn best(&self, now: f64, held: &Held, dice: &mut u64, picks: &mut Vec<usize>) -> Option<Choice> {
+        let most = |part: usize, of: usize| part as f64 > of as f64 * EJECT_PART;
+        let (home, all) = (self.backends.counts(From::Home), self.backends.counts(From::Fleet));
+        let ignore_ejection = most(all.ejected, all.ready);
+        let class = &self.settings.classes[held.request.class];
+        let ran = held.attempts.iter().find(|a| a.may_have_run).filter(|_| class.effect == Effect::Keyed);
+        let from = match (ran, class.group) {
+            (Some(a), Group::Cell) => [From::Cell(a.cell); 3],
+            (Some(a), Group::Zone) => [From::Zone(a.zone); 3],
+            _ if most(home.ejected, home.ready) => [From::Fleet; 3],
+            _ => [From::Home, From::Home, From::Fleet],
+        };
         let work = self.work(held.request.class, held.request.units);
-        // Danger: backends that turn one plan or class away though they have room. Those that did both of
-        // late come last for it; others go on there.
-        let marks = self.marks(&held.request);
-        let avoid = self.longest(|c| c.deadline_ms) * FULL_AVOID;
-        let ready = || self.backends.iter().filter(|b| b.ready());
-        let ejected = ready().filter(|b| b.ejected).count() as f64;
-        let ignore_ejection = ejected > ready().count() as f64 * EJECT_PART;
-        let warm = self.backends.iter().filter(|b| b.warmth(now, &self.settings) >= 1.0);
-        let add = |(s, n), b: &Backend| (s + b.pushed(now, &self.settings), n + b.entry.share);
-        let (sum, count) = warm.fold((0.0, 0.0), add);
-        let warm_push = sum / if count > 0.0 { count } else { 1.0 };
-        let mut best: Option<(usize, f64, f64)> = None;
-        for i in 0..self.backends.len() {
-            let noise = 1.0 + NOISE * roll(&mut self.rng);
-            let b = &self.backends[i];
-            let tried = held.attempts.iter().any(|a| a.backend == b.entry.id);
-            let out = !b.ready() || (b.ejected && !ignore_ejection);
-            if out || !self.legal(&held, Some(b), now) {
-                continue;
+        let warm_push = self.backends.warm_push(now);
+        let mut best: Option<Choice> = None;
+        for from in from {
+            let begin = picks.len();
+            self.backends.draw(from, ignore_ejection, &mut || roll(dice), picks);
+            let drawn = &picks[begin..];
+            for place in drawn {
+                let choice = self.candidate(now, held, *place, (work, warm_push, drawn.len()), dice);
+                best = match (best, choice) {
+                    (Some(best), Some(choice)) if choice.before(&best) => Some(choice),
+                    (best, choice) => best.or(choice),
+                };
             }
-            let (warmth, part) = (b.warmth(now, &self.settings), self.cold_part(b, now, warm_push + work));
+            if best.as_ref().is_some_and(|best| !best.tried) {
+                break;
+            }
+        }
+        best
+    }
+
+    /// What is expected of a candidate, one of so many; none if nothing may be sent there.
+    fn candidate(
+        &self,
+        now: f64,
+        held: &Held,
+        place: usize,
+        (work, warm_push, drawn): (f64, f64, usize),
+        dice: &mut u64,
+    ) -> Option<Choice> {
+        let noise = 1.0 + NOISE * roll(dice);
+        let b = self.backends.get(place);
+        if !self.legal(held, Some(b), now) {
+            return None;
+        }
+        let (warmth, pushed) = (b.warmth(now, &self.settings), self.backends.pushed(place, now));
+        let mut lucky = false;
+        if warmth < 1.0 {
+            let part = self.cold_part(warmth, self.backends.degree(), warm_push + work);
             // Danger: a cold backend left idle as each gateway's part is under a request. It gets the cold
             // part of an even share by chance; the sum over gateways is the same.
-            let lucky = part < work && roll(&mut self.rng) * self.backends.len() as f64 <= warmth;
-            let b = &self.backends[i];
-            if warmth < 1.0 && !lucky && b.pushed(now, &self.settings) + work > part {
-                continue;
-            }
-            let slowness = self.slowness(b, now) / warmth;
-            // Danger: a report that is old, or that stops as the backend gets busy, is no idleness.
-            let fresh = (-(now - b.reported) / self.longest(|c| c.deadline_ms)).exp();
-            let waiting = self.fleet.queue + (b.waiting - self.fleet.queue) * fresh;
-            let load = (b.out * f64::from(self.settings.gateways)).max(b.out + waiting) + AT_ONCE;
-            // An operator's weight: beyond its share of what others get, it comes last.
-            let sated = b.entry.share < 1.0 && b.pushed(now, &self.settings) > b.entry.share * warm_push;
-            let crosses = f64::from(u8::from(b.entry.zone != self.settings.zone));
-            let turned_away = marks.iter().all(|m| b.full.get(*m).is_some_and(|at| now - at < avoid));
-            let bad = tried || b.ejected || turned_away || sated;
-            let doubt = if bad { EJECT.1 } else { 1.0 } * (1.0 - b.failures.min(0.9));
-            let dear = 1.0 + crosses * self.settings.cross_zone_cost;
-            let score = if lucky && warmth < 1.0 { 0.0 } else { slowness * load * noise * dear / doubt };
-            let queueing = (slowness / self.fleet.calm - 1.0).max(0.0);
-            let slow = 1.0 + queueing * (b.out + 1.0) / (b.out_mean + 1.0);
-            if best.is_none_or(|(_, s, _)| score < s) {
-                best = Some((i, score, if b.out > 0.0 { slow } else { 0.0 }));
+            lucky = part < work && roll(dice) * drawn as f64 <= warmth;
+            // Danger: gateways that it is no home of, each with a part of its own.
+            if !self.backends.is_home(place) || (!lucky && pushed + work > part) {
+                return None;
             }
         }
-        best.map(|(i, _, slow)| (i, slow))
+        let slowness = self.slowness(b, now) / warmth;
+        // Danger: a report that is old, or that stops as the backend gets busy, is no idleness.
+        let fresh = (-(now - b.reported) / self.longest.1).exp();
+        let waiting = self.fleet.queue + (b.waiting - self.fleet.queue) * fresh;
+        let load = (b.out * self.backends.degree()).max(b.out + waiting) + AT_ONCE;
+        // An operator's weight: beyond its share of what others get, it comes last.
+        let sated = b.entry.share < 1.0 && pushed > b.entry.share * warm_push;
+        let crosses = f64::from(u8::from(b.entry.zone != self.settings.zone));
+        // Danger: backends that turn one plan or class away though they have room. Those that did both of
+        // late come last for it; others go on there.
+        let avoid = self.longest.1 * FULL_AVOID;
+        let full = |m: &usize| b.full.get(*m).is_some_and(|at| now - at < avoid);
+        let turned_away = !b.full.is_empty() && self.marks(&held.request).iter().all(full);
+        let bad = b.ejected || turned_away || sated;
+        let doubt = if bad { EJECT.1 } else { 1.0 } * (1.0 - b.failures.min(0.9));
+        let dear = 1.0 + crosses * self.settings.cross_zone_cost;
+        let score = if lucky { 0.0 } else { slowness * load * noise * dear / doubt };
+        let queueing = (slowness / self.fleet.calm - 1.0).max(0.0);
+        let slow = 1.0 + queueing * (b.out + 1.0) / (b.out_mean + 1.0);
+        let tried = held.attempts.iter().any(|a| a.backend == b.entry.id);
+        Some(Choice { place, tried, score, slow: if b.out > 0.0 { slow } else { 0.0 } })
     }
 
     /// Danger: a cold backend is pushed over by all gateways together. Each keeps to the cold part
     /// of what warm ones get of it, or of its part of one core's work.
-    fn cold_part(&self, b: &Backend, now: f64, warm: f64) -> f64 {
+    fn cold_part(&self, warmth: f64, gateways: f64, warm: f64) -> f64 {
         let slow = &self.settings.slow_start;
-        let core = slow.tip_multiple * slow.overload_for_ms / f64::from(self.settings.gateways);
-        b.warmth(now, &self.settings) * core.max(warm)
+        let core = slow.tip_multiple * slow.overload_for_ms / gateways;
+        warmth * core.max(warm)
     }
 
     /// Ejects silent backends, and starts trials of those whose pause is over.
     fn watch_silence(&mut self, now: f64, actions: &mut Vec<Action>) {
         let (mean, connect) = (self.fleet.mean_work, self.settings.limits.connect_timeout_ms);
-        for i in 0..self.backends.len() {
-            let patience = (SILENT * mean * self.slowness(&self.backends[i], now)).max(connect);
-            let b = &mut self.backends[i];
-            let silent = b.out > 0.0 && now - b.heard > patience;
-            if b.ready() && if b.ejected { now >= b.trial_at } else { silent } {
-                let trial = b.ejected;
-                b.eject(now, connect);
-                if trial && self.settings.limits.probes {
-                    actions.push(Action::Probe { backend: b.entry.id });
-                } else if trial {
-                    b.readmit(now, 0.0);
-                }
+        while let Some(place) = self.backends.due(now) {
+            let b = self.backends.get(place);
+            let (trial, patience) = (b.ejected, (SILENT * mean * self.slowness(b, now)).max(connect));
+            let again = match trial {
+                // When the list has it take work again, it is looked at anew.
+                _ if !b.ready() => continue,
+                false if b.out <= 0.0 => continue,
+                false => b.heard + patience,
+                true => b.trial_at,
+            };
+            if now < again || (!trial && now <= again) {
+                // What is expected of an answer may fall, and the wait for it with that.
+                let next = if trial { again } else { again.min(now + connect) };
+                self.backends.watch(place, next.max(now + 1.0));
+                continue;
+            }
+            let id = b.entry.id;
+            self.eject(now, place);
+            if trial && self.settings.limits.probes {
+                actions.push(Action::Probe { backend: id });
+            } else if trial {
+                self.backends.update(now, place, |b| b.readmit(now, 0.0));
+                self.backends.watch(place, now + connect.max(1.0));
             }
         }
     }
 
+    fn eject(&mut self, now: f64, place: usize) {
+        let connect = self.settings.limits.connect_timeout_ms;
+        self.backends.update(now, place, |b| b.eject(now, connect));
+        self.backends.watch(place, self.backends.get(place).trial_at);
+    }
+
     /// Danger: queues no answer comes out of in time (the design's store does not see them), or load
     /// that wears servers down. Whether some backend is expected to leave every class enough of its aim.
-    fn room(&mut self, now: f64, id: u64) -> bool {
-        let some = self.choose(now, id).is_some_and(|(_, slow)| slow <= self.fleet.bearable);
+    /// Gives that one.
+    fn room(&mut self, now: f64, id: u64) -> Option<(usize, f64)> {
+        let some = self.choose(now, id).filter(|(_, slow)| *slow <= self.fleet.bearable);
         let pressure = self.pressure(now);
         // Danger: clients with little time left. What is not expected to be done by then is not begun.
         let Request { class, units, expires_ms, .. } = self.requests[&id].request;
         let in_time = self.work(class, units) * self.fleet.calm * pressure <= expires_ms - now;
-        let room = some && in_time && pressure <= self.fleet.bearable;
-        self.fleet.refused += (1.0 - KEEP.1) * (f64::from(u8::from(!room)) - self.fleet.refused);
+        let room = some.filter(|_| in_time && pressure <= self.fleet.bearable);
+        self.fleet.refused += (1.0 - KEEP.1) * (f64::from(u8::from(room.is_none())) - self.fleet.refused);
         room
     }
 
@@ -732,7 +831,7 @@
     /// stall. So time spent counts, answered or not, over what was expected of the answers.
     fn pressure(&self, now: f64) -> f64 {
         let f = &self.fleet;
-        let keep = (-(now - f.at) / self.longest(|c| c.aim_ms)).exp().max(f64::EPSILON);
+        let keep = (-(now - f.at) / self.longest.0).exp().max(f64::EPSILON);
         let prior = f.mean_work * PRIOR / keep;
         // What is usually out counts as well where the gateway is one of many, and sees little else.
         let few = (FEW / f64::from(self.settings.gateways)).min(1.0);
@@ -751,17 +850,13 @@
 
     /// Takes in an answer, or that none came in time: what is overdue would tell of a queue long past.
     fn lately(&mut self, now: f64, seen: f64, work: f64) {
-        let fade = (-(now - self.fleet.at) / (2.0 * self.longest(|c| c.aim_ms))).exp().min(KEEP.1);
+        let fade = (-(now - self.fleet.at) / (2.0 * self.longest.0)).exp().min(KEEP.1);
         self.fleet.lately.add(seen, work, fade);
         let weight = (1.0 - fade).max(1.0 / (self.fleet.answers + 1.0));
         self.fleet.open_mean += weight * (self.fleet.open(now) - self.fleet.open_mean);
         self.fleet.at = now;
     }
 
-    fn longest(&self, time: impl Fn(&Class) -> f64) -> f64 {
-        self.settings.classes.iter().map(time).fold(1.0, f64::max)
-    }
-
     /// The one place that says whether a further attempt (to a backend) or a refusal (`None`) is legal.
     fn legal(&self, held: &Held, to: Option<&Backend>, now: f64) -> bool {
         let class: &Class = &self.settings.classes[held.request.class];
@@ -788,10 +883,9 @@
         }
     }
 
-    /// Sends an admitted request on for the first time.
-    fn forward(&mut self, now: f64, id: u64, actions: &mut Vec<Action>) {
-        let request = self.requests[&id].request.clone();
-        let chosen = self.choose(now, id);
+    /// Sends an admitted request on for the first time, to the backend that was chosen.
+    fn forward(&mut self, now: f64, id: u64, chosen: Option<(usize, f64)>, actions: &mut Vec<Action>) {
+        let request = &self.requests[&id].request;
         let c = self.customers.get_mut(&request.customer);
         // The ceiling once more: it may have been spent while a call was out.
         let c = c.filter(|c| chosen.is_some() && c.plan.ceiling_rate > 0.0);
@@ -809,16 +903,21 @@
     fn send(&mut self, now: f64, id: u64, place: usize, finish: f64, actions: &mut Vec<Action>) {
         let class = self.requests[&id].request.class;
         let work = self.work(class, self.requests[&id].request.units);
-        let expected = work * finish.max(self.slowness(&self.backends[place], now));
+        let expected = work * finish.max(self.slowness(self.backends.get(place), now));
         let s = &self.settings;
         let patience = (expected * HEDGE_AFTER).min(s.classes[class].aim_ms);
-        let b = &mut self.backends[place];
-        b.heard = if b.out > 0.0 { b.heard } else { now };
-        (b.pushed, b.pushed_at) = (b.pushed(now, s) + work, now);
+        let connect = s.limits.connect_timeout_ms;
+        self.backends.push(place, now, work);
+        let b = self.backends.learn(place);
+        let idle = b.out <= 0.0;
+        b.heard = if idle { now } else { b.heard };
         let attempt = Attempt::new(&b.entry, now, patience, (b.out, self.fleet.out));
         let backend = attempt.backend;
         self.fleet.waits(now, 1.0);
         b.out += 1.0;
+        if idle {
+            self.backends.watch(place, now + connect.max(1.0));
+        }
         self.fleet.out += 1.0;
         let held = self.requests.get_mut(&id).expect("held");
         self.customers.get_mut(&held.request.customer).into_iter().for_each(|c| c.open += 1);
@@ -848,7 +947,7 @@
         }
         let left = (self.settings.classes[class].aim_ms - (now - arrived)) * HEADROOM;
         let chosen = self.choose(now, id).filter(|c| c.1 * self.work(class, units) < left);
-        if let Some((place, finish)) = chosen.filter(|c| self.backends[c.0].entry.id != backend) {
+        if let Some((place, finish)) = chosen.filter(|c| self.backends.get(c.0).entry.id != backend) {
             self.retry_budget -= 1.0;
             self.send(now, id, place, finish, actions);
         }
@@ -882,8 +981,8 @@
         let (marks, all) =
             (self.marks(&request), self.settings.plans.len() + self.settings.classes.len() + 1);
         let fleet = self.fleet.slowness();
-        let connect = self.settings.limits.connect_timeout_ms;
-        let Some(b) = self.backend(backend) else { return };
+        let Some(place) = self.backends.find(backend) else { return };
+        let b = self.backends.learn(place);
         b.out = (b.out - 1.0).max(0.0);
         if matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full) {
             b.heard = now;
@@ -903,8 +1002,9 @@
         }
         b.pause = if outcome == Outcome::Ok { 0.0 } else { b.pause };
         if fault && b.failures > EJECT.0 && !b.ejected {
-            b.eject(now, connect);
+            self.eject(now, place);
         }
+        let b = self.backends.learn(place);
         if matches!(outcome, Outcome::Ok | Outcome::Timeout) {
             let seen = latency.min(CLIP * work * fleet.max(1.0));
             b.latency.add(seen, work, KEEP.0);
--- a/crates/slatelock/src/interface.rs
+++ b/crates/slatelock/src/interface.rs
@@ -111,6 +111,25 @@
     pub overload_for_ms: f64,
 }
 
+/// How many backends a gateway looks at.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Routing {
+    /// Up to so many backends are all looked at for each request.
+    pub whole: usize,
+    /// So many are drawn and looked at where there are more.
+    pub choices: usize,
+    /// Backends that a gateway keeps to while they do.
+    pub subset: u32,
+    /// Gateways that each backend has at least, where there are as many; it may make subsets larger.
+    pub coverage: u32,
+}
+
+impl Default for Routing {
+    fn default() -> Self {
+        Routing { whole: 16, choices: 8, subset: 64, coverage: 3 }
+    }
+}
+
 /// All a gateway is told at its start.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -140,6 +159,8 @@
     pub limits: Limits,
     /// Rules on cold backends.
     pub slow_start: SlowStart,
+    /// How many backends are looked at.
+    pub routing: Routing,
     /// Values of load reports, in order.
     pub load_fields: Vec<LoadField>,
     /// The list of backends must be asked for.
@@ -204,6 +225,9 @@
         if !(positive(s.tip_multiple) && amount(s.overload_for_ms)) {
             return bad("slow_start", "needs a multiple above 0 and a time of 0 or more");
         }
+        if self.routing.choices == 0 || self.routing.subset == 0 || self.routing.coverage == 0 {
+            return bad("routing", "choices, subset and coverage must be above 0");
+        }
         if self.limits.max_attempts == 0 {
             return bad("limits.max_attempts", "must be above 0");
         }
@@ -238,14 +262,18 @@
 /// A line of the list of backends.
 #[derive(Clone, Debug, PartialEq)]
 pub struct BackendEntry {
-    /// Its number.
+    /// Its number at this gateway.
     pub id: u32,
+    /// What it is known by at all gateways.
+    pub key: u64,
     /// Its state.
     pub state: Readiness,
     /// Its cell.
     pub cell: u32,
     /// Its zone.
     pub zone: u32,
+    /// Its type.
+    pub kind: u32,
     /// When it started; 0 for long ago.
     pub started_ms: f64,
     /// Its registered size against the others', where known.
@@ -257,7 +285,7 @@
 impl Default for BackendEntry {
     fn default() -> Self {
         let (state, started_ms, weight, share) = (Readiness::Ready, 0.0, 0.0, 1.0);
-        BackendEntry { id: 0, state, cell: 0, zone: 0, started_ms, weight, share }
+        BackendEntry { id: 0, key: 0, state, cell: 0, zone: 0, kind: 0, started_ms, weight, share }
     }
 }
 
--- a/crates/slatelock/src/settings.rs
+++ b/crates/slatelock/src/settings.rs
@@ -4,7 +4,9 @@
 
 use serde_json::Value;
 
-use crate::interface::{Class, Effect, Group, Limits, LoadField, Plan, Settings, SettingsError, SlowStart};
+use crate::interface::{
+    Class, Effect, Group, Limits, LoadField, Plan, Routing, Settings, SettingsError, SlowStart,
+};
 
 /// Reads the settings from text.
 ///
@@ -90,6 +92,7 @@
             tip_multiple: contract.number("tip-multiple")?,
             overload_for_ms: contract.number("overload-for-ms")?,
         },
+        routing: Routing::default(),
         load_fields: feedback.each("fields", load_field)?,
         ask_for_list: top.text("registry-mode")? == "ask",
         ask_within_ms: contract.number("ask-within-ms")?,
--- a/crates/slatelock/src/state.rs
+++ b/crates/slatelock/src/state.rs
@@ -1,6 +1,8 @@
 //! Records and arithmetic that the decisions of `src/control.rs` use; nothing is decided here.
 
-use crate::interface::{BackendEntry, Outcome, Plan, Request};
+use beechrudder_routing::{Facts, Filed, Listing};
+
+use crate::interface::{BackendEntry, Outcome, Plan, Readiness, Request};
 
 /// A decayed sum of observed over expected.
 #[derive(Clone, Copy, Debug, Default)]
@@ -152,6 +154,8 @@
     pub(crate) entry: BackendEntry,
     /// Last start that was told, or re-entry after silence.
     pub(crate) started: f64,
+    /// It is warm after this time from then.
+    pub(crate) warm_up: f64,
     pub(crate) out: f64,
     pub(crate) latency: Ratio,
     pub(crate) judged: f64,
@@ -162,9 +166,6 @@
     pub(crate) ejected: bool,
     pub(crate) pause: f64,
     pub(crate) trial_at: f64,
-    /// Work sent lately, decayed over the rule's window.
-    pub(crate) pushed: f64,
-    pub(crate) pushed_at: f64,
     /// Requests waiting there by its last report, and when that came.
     pub(crate) waiting: f64,
     pub(crate) reported: f64,
@@ -172,6 +173,39 @@
     pub(crate) full: Vec<f64>,
 }
 
+impl Filed for Backend {
+    fn facts(&self) -> Facts {
+        let BackendEntry { id, key, zone, cell, kind, share, .. } = self.entry;
+        let listing = match self.entry.state {
+            Readiness::Ready => Listing::Ready,
+            Readiness::Draining => Listing::Draining,
+            Readiness::Gone => Listing::Gone,
+        };
+        // One that started long ago, or says nothing, is warm.
+        let warm_from = if self.started > 0.0 { self.started + self.warm_up } else { 0.0 };
+        Facts { id, key, zone, cell, kind, listing, ejected: self.ejected, warm_from, share }
+    }
+}
+
+/// A backend that a request may be sent to.
+#[derive(Debug)]
+pub(crate) struct Choice {
+    pub(crate) place: usize,
+    /// The request was there before.
+    pub(crate) tried: bool,
+    /// Less is better.
+    pub(crate) score: f64,
+    /// Expected finish, as a multiple of an idle backend's.
+    pub(crate) slow: f64,
+}
+
+impl Choice {
+    /// Whether this one is to be taken before another. Never the same backend while another is there.
+    pub(crate) fn before(&self, other: &Choice) -> bool {
+        (self.tried, self.score) < (other.tried, other.score)
+    }
+}
+
 pub(crate) fn part(x: u64) -> f64 {
     (x >> 11) as f64 / (1u64 << 53) as f64
 }
--- a/crates/slatelock/src/view.rs
+++ b/crates/slatelock/src/view.rs
@@ -15,10 +15,10 @@
 }
 
 impl Gateway {
-    /// The backends on the list, in the order of their numbers, at `now` (ms, the caller's clock).
+    /// The backends on the list, in no order, at `now` (ms, the caller's clock).
     pub fn backends(&self, now: f64) -> impl Iterator<Item = BackendView> + '_ {
-        let listed = self.backends.iter().filter(|b| b.entry.state != Readiness::Gone);
-        listed.map(move |b| {
+        let all = self.backends.places().map(|place| self.backends.get(place));
+        all.filter(|b| b.entry.state != Readiness::Gone).map(move |b| {
             let warmth = b.warmth(now, &self.settings);
             BackendView { id: b.entry.id, ejected: b.ejected, warmth }
         })
--- a/crates/slatelock/tests/limits.rs
+++ b/crates/slatelock/tests/limits.rs
@@ -47,10 +47,14 @@
 
 #[test]
 fn the_library_reads_no_clock_and_starts_no_thread() {
-    for name in ["src/control.rs", "src/interface.rs"] {
-        let text = fs::read_to_string(here().join(name)).expect("a source");
+    let mut files = vec![here().join("src/control.rs"), here().join("src/interface.rs")];
+    let before = files.len();
+    sources(&root().join("crates/routing/src"), &mut files);
+    assert!(files.len() > before + 3);
+    for name in files {
+        let text = fs::read_to_string(&name).expect("a source");
         for word in ["std::time", "std::thread", "std::net", "std::fs", "std::env", "\nstatic "] {
-            assert!(!text.contains(word), "{name}: {word}");
+            assert!(!text.contains(word), "{}: {word}", name.display());
         }
     }
 }
--- a/crates/slatelock/tests/support/mod.rs
+++ b/crates/slatelock/tests/support/mod.rs
@@ -57,6 +57,7 @@
             tip_multiple: 3.0,
             overload_for_ms: 2_000.0,
         },
+        routing: Routing::default(),
         load_fields: Vec::new(),
         ask_for_list: false,
         ask_within_ms: 10_000.0,
@@ -65,7 +66,8 @@
 }
 
 pub fn backends(n: u32) -> Vec<BackendEntry> {
-    (0..n).map(|id| BackendEntry { id, cell: id / 2, ..BackendEntry::default() }).collect()
+    let entry = |id: u32| BackendEntry { id, key: u64::from(id), cell: id / 2, ..BackendEntry::default() };
+    (0..n).map(entry).collect()
 }
 
 pub fn request(id: u64, class: usize, plan: usize, units: f64) -> Request {
