Records of customers: never more than an eighth of the memory holds

Cause: customers seen once filled the memory without a bound; 26,000 new ones a second took 86 MB in a process that may be given 32.

Status has the number forgotten and the units that may pass again.

--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -139,6 +139,12 @@
     pub client_connections: u32,
     /// Customers whose store is held.
     pub customers: u64,
+    /// Stores that were dropped to make room for others.
+    #[serde(default)]
+    pub forgotten: u64,
+    /// Units that the customers of those may pass beyond their quotas.
+    #[serde(default)]
+    pub forgotten_units: u64,
 }
 
 /// A backend as a gateway sees it.
--- a/crates/gateway/src/driver/overseen.rs
+++ b/crates/gateway/src/driver/overseen.rs
@@ -99,12 +99,15 @@
         let mut out: HashMap<u32, u64> = HashMap::new();
         self.attempts.values().for_each(|a| *out.entry(a.backend).or_default() += 1);
         let mut rows: Vec<BackendState> = Vec::new();
+        let (forgotten, forgotten_units) = self.gateway.forgotten();
         let mut figures = Figures {
             requests: self.open.len() as u64,
             in_flight: self.attempts.len() as u64,
             idle_connections: self.backends.idle() as u32,
             client_connections: self.overseen.clients.len() as u32,
             customers: self.gateway.customers() as u64,
+            forgotten,
+            forgotten_units: forgotten_units.ceil() as u64,
             ..Figures::default()
         };
         for row in self.roster.rows() {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -32,6 +32,8 @@
 /// The part of the memory that requests and answers may take: buffers that are being read and written take
 /// about another two.
 const ROOM_PART: usize = 4;
+/// The part of the memory that customers' records may take.
+const RECORDS_PART: usize = 8;
 /// Inputs that may wait for the driver; who brings more waits.
 const INBOX: usize = 1024;
 /// How long the start waits for the list of backends before it goes by the known one.
@@ -88,7 +90,8 @@
 
 /// Serves until SIGTERM has been carried out.
 pub async fn serve(config: Config, path: PathBuf, admin: Option<Admin>) -> Result<(), String> {
-    let Config { name, listen, peers, seed, sockets, memory_mb, known, settings, names } = config;
+    let Config { name, listen, peers, seed, sockets, memory_mb, known, mut settings, names } = config;
+    settings.customers = Gateway::customers_in((memory_mb << 20) / RECORDS_PART);
     let failed = |what: &'static str| move |e: std::io::Error| format!("{what}: {e}");
     let mut terminate = signal(SignalKind::terminate()).map_err(failed("SIGTERM"))?;
     let hangup = signal(SignalKind::hangup()).map_err(failed("SIGHUP"))?;
--- a/crates/slatelock/src/interface.rs
+++ b/crates/slatelock/src/interface.rs
@@ -161,6 +161,8 @@
     pub slow_start: SlowStart,
     /// How many backends are looked at.
     pub routing: Routing,
+    /// Customers whose store is held, at most.
+    pub customers: usize,
     /// Values of load reports, in order.
     pub load_fields: Vec<LoadField>,
     /// The list of backends must be asked for.
@@ -228,6 +230,9 @@
         if self.routing.choices == 0 || self.routing.subset == 0 || self.routing.coverage == 0 {
             return bad("routing", "choices, subset and coverage must be above 0");
         }
+        if self.customers == 0 {
+            return bad("customers", "must be above 0");
+        }
         if self.limits.max_attempts == 0 {
             return bad("limits.max_attempts", "must be above 0");
         }
--- a/crates/slatelock/src/settings.rs
+++ b/crates/slatelock/src/settings.rs
@@ -8,6 +8,9 @@
     Class, Effect, Group, Limits, LoadField, Plan, Routing, Settings, SettingsError, SlowStart,
 };
 
+/// Customers whose store is held, at most, unless the program sets it by its memory.
+const CUSTOMERS: usize = 1 << 20;
+
 /// Reads the settings from text.
 ///
 /// # Errors
@@ -93,6 +96,7 @@
             overload_for_ms: contract.number("overload-for-ms")?,
         },
         routing: Routing::default(),
+        customers: CUSTOMERS,
         load_fields: feedback.each("fields", load_field)?,
         ask_for_list: top.text("registry-mode")? == "ask",
         ask_within_ms: contract.number("ask-within-ms")?,
--- a/crates/slatelock/src/view.rs
+++ b/crates/slatelock/src/view.rs
@@ -1,7 +1,10 @@
 //! What a gateway knows, to be looked at. Nothing is decided here, and nothing changed.
 
+use beechrudder_records::Records;
+
 use crate::control::Gateway;
 use crate::interface::Readiness;
+use crate::state::Customer;
 
 /// A backend as the gateway knows it.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -24,6 +27,18 @@
         })
     }
 
+    /// How many customers' stores fit some bytes.
+    #[must_use]
+    pub fn customers_in(bytes: usize) -> usize {
+        Records::<Customer>::fit(bytes)
+    }
+
+    /// How many stores were dropped to make room, and the units that these may pass again.
+    #[must_use]
+    pub fn forgotten(&self) -> (u64, f64) {
+        self.customers.forgotten()
+    }
+
     /// Customers whose store is held.
     #[must_use]
     pub fn customers(&self) -> usize {
--- a/crates/slatelock/tests/support/mod.rs
+++ b/crates/slatelock/tests/support/mod.rs
@@ -58,6 +58,7 @@
             overload_for_ms: 2_000.0,
         },
         routing: Routing::default(),
+        customers: 10_000,
         load_fields: Vec::new(),
         ask_for_list: false,
         ask_within_ms: 10_000.0,
