--- a/crates/gateway/src/backends.rs
+++ b/crates/gateway/src/backends.rs
@@ -103,6 +103,8 @@
 #[derive(Debug)]
 pub struct Backends {
     pools: HashMap<u32, Pool>,
+    /// The pools at each address; there is one, but for a moment.
+    at: HashMap<SocketAddr, Vec<u32>>,
     /// Counts what makes connections stale.
     generations: u64,
     places: Arc<Semaphore>,
@@ -117,6 +119,7 @@
         let idle_most = Duration::from_secs_f64((idle_close_ms * IDLE_PART / 1000.0).clamp(0.0, 3600.0));
         Backends {
             pools: HashMap::new(),
+            at: HashMap::new(),
             generations: 0,
             places: Arc::new(Semaphore::new(connections)),
             idle_most,
@@ -128,17 +131,17 @@
     /// started later is; the one of the line may be among them.
     pub fn update(&mut self, entry: &BackendEntry, address: SocketAddr) -> Vec<u32> {
         if entry.state == Readiness::Gone {
-            self.pools.remove(&entry.id);
+            self.remove(entry.id);
             return Vec::new();
         }
-        let others = self.pools.iter().filter(|(id, p)| **id != entry.id && p.address == address);
-        let (older, newer): (Vec<_>, Vec<_>) = others.partition(|(_, p)| p.started <= entry.started_ms);
+        let others = self.at.get(&address).into_iter().flatten().copied().filter(|id| *id != entry.id);
+        let newer = |id: &u32| self.pools.get(id).is_some_and(|p| p.started > entry.started_ms);
+        let (newer, replaced): (Vec<u32>, Vec<u32>) = others.partition(newer);
         if !newer.is_empty() {
-            self.pools.remove(&entry.id);
+            self.remove(entry.id);
             return vec![entry.id];
         }
-        let replaced: Vec<u32> = older.into_iter().map(|(id, _)| *id).collect();
-        replaced.iter().for_each(|id| drop(self.pools.remove(id)));
+        replaced.iter().for_each(|id| self.remove(*id));
         let (started, ready) = (entry.started_ms, entry.state == Readiness::Ready);
         let old = self.pools.get(&entry.id);
         // Danger: connections to a process that is no more, and requests reset on them.
@@ -149,10 +152,22 @@
         let places =
             old.map_or_else(|| Arc::new(Semaphore::new(CONNECTIONS_MOST)), |p| Arc::clone(&p.places));
         let (generation, idle) = (self.generations, Vec::new());
+        self.remove(entry.id);
         self.pools.insert(entry.id, Pool { ready, started, address, generation, idle, places });
+        self.at.entry(address).or_default().push(entry.id);
         replaced
     }
 
+    fn remove(&mut self, id: u32) {
+        let Some(pool) = self.pools.remove(&id) else { return };
+        if let Some(at) = self.at.get_mut(&pool.address) {
+            at.retain(|other| *other != id);
+            if at.is_empty() {
+                self.at.remove(&pool.address);
+            }
+        }
+    }
+
     /// Connections on which nothing is in flight.
     pub fn idle(&self) -> usize {
         self.pools.values().map(|p| p.idle.len()).sum()
@@ -164,7 +179,8 @@
 
     /// Takes in a whole list: backends that it does not name are gone.
     pub fn keep_only(&mut self, named: impl Fn(u32) -> bool) {
-        self.pools.retain(|id, _| named(*id));
+        let gone: Vec<u32> = self.pools.keys().copied().filter(|id| !named(*id)).collect();
+        gone.into_iter().for_each(|id| self.remove(id));
     }
 
     /// A way to send a request to a backend now.
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -482,7 +482,8 @@
             }
         }
         if matches!(scope, ListScope::Full | ListScope::Cached) {
-            self.backends.keep_only(|id| entries.iter().any(|e| e.id == id));
+            let named: HashSet<u32> = entries.iter().map(|e| e.id).collect();
+            self.backends.keep_only(|id| named.contains(&id));
         }
         // Danger: names of backends that came and went, kept for good. A number is never used again.
         let backends = &self.backends;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,7 +29,8 @@
 use beechrudder_operator::Operator;
 
 /// Serves by the configuration that `GW_CONFIG` names until SIGTERM has been carried out. Where `operator`
-/// names an operator's file with an `[admin]` section, operators can order and look from there.
+/// names an operator's file with an `[admin]` section, operators can order and look from there; its
+/// `[routing]` section says how many backends are looked at.
 ///
 /// # Errors
 /// One line that names what is wrong: the variable, the file, a key, or a socket.
@@ -41,7 +42,7 @@
     runtime.map_err(|e| format!("runtime: {e}"))?.block_on(serve::serve(
         config,
         path,
-        operator.and_then(|o| o.admin),
+        operator.unwrap_or_default(),
     ))
 }
 
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use beechrudder_channel::Dialer;
-use beechrudder_operator::Admin;
-use slatelock::interface::ListScope;
+use beechrudder_operator::Operator;
+use slatelock::interface::{ListScope, Routing};
 use slatelock::Gateway;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
@@ -89,8 +89,11 @@
 }
 
 /// Serves until SIGTERM has been carried out.
-pub async fn serve(config: Config, path: PathBuf, admin: Option<Admin>) -> Result<(), String> {
+pub async fn serve(config: Config, path: PathBuf, operator: Operator) -> Result<(), String> {
     let Config { name, listen, peers, seed, sockets, memory_mb, known, mut settings, names } = config;
+    let Operator { admin, routing, .. } = operator;
+    let beechrudder_operator::Routing { whole, choices, subset, coverage } = routing;
+    settings.routing = Routing { whole, choices, subset, coverage };
     settings.customers = Gateway::customers_in((memory_mb << 20) / RECORDS_PART);
     let failed = |what: &'static str| move |e: std::io::Error| format!("{what}: {e}");
     let mut terminate = signal(SignalKind::terminate()).map_err(failed("SIGTERM"))?;
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -23,6 +23,9 @@
 pub struct Operator {
     /// The admin listener of each gateway; none: off.
     pub admin: Option<Admin>,
+    /// How many backends each gateway looks at.
+    #[serde(default)]
+    pub routing: Routing,
     /// The agent.
     pub agent: Option<Agent>,
     /// The gateways that the agent oversees from its start.
@@ -43,6 +46,26 @@
     pub tls: Option<Tls>,
 }
 
+/// How many backends a gateway looks at. All gateways of a fleet are to have the same.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Routing {
+    /// Lists of up to so many backends are looked at whole for each request: 0 to 1,000.
+    pub whole: usize,
+    /// So many are drawn and looked at where there are more: 1 to 64.
+    pub choices: usize,
+    /// Backends that a gateway keeps to while they do: 1 to 100,000.
+    pub subset: u32,
+    /// Gateways that each backend has at least, where there are as many: 1 to 10,000.
+    pub coverage: u32,
+}
+
+impl Default for Routing {
+    fn default() -> Self {
+        Routing { whole: 16, choices: 8, subset: 64, coverage: 3 }
+    }
+}
+
 /// Certificates of one side, PEM files. Both sides show one; each names whose it takes.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -189,6 +212,19 @@
         if registers.is_some_and(Address::is_tcp) {
             say("admin.agent", "TCP needs [admin.tls]");
         }
+        let r = &self.routing;
+        if r.whole > 1_000 {
+            say("routing.whole", "0 to 1000 is wanted");
+        }
+        if !(1..=64).contains(&r.choices) {
+            say("routing.choices", "1 to 64 is wanted");
+        }
+        if !(1..=100_000).contains(&r.subset) {
+            say("routing.subset", "1 to 100000 is wanted");
+        }
+        if !(1..=10_000).contains(&r.coverage) {
+            say("routing.coverage", "1 to 10000 is wanted");
+        }
         if let Some(agent) = &self.agent {
             if agent.tls.is_none() && agent.register.as_ref().is_some_and(Address::is_tcp) {
                 say("agent.register", "TCP needs [agent.tls]");
@@ -268,6 +304,10 @@
                 "[agent]\nlisten = \"unix:/a\"\nlog = \"/b\"\nregister = \"tcp:127.0.0.1:7\"",
                 "agent.register: TCP needs [agent.tls]",
             ),
+            ("[routing]\nsubset = 0", "routing.subset: 1 to 100000"),
+            ("[routing]\nchoices = 65\nwhole = 2000", "routing.choices: 1 to 64"),
+            ("[routing]\nsubsets = 64", "unknown field `subsets`"),
+            ("[routing]\ncoverage = -1", "line 2"),
             ("[adm", "line 1"),
         ];
         for (text, said) in cases {
--- /dev/null
+++ b/crates/slatelock/tests/routing.rs
@@ -0,0 +1,168 @@
+//! Routing in fleets that are too large to be looked at whole.
+
+mod support;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use slatelock::interface::*;
+use support::*;
+
+const LISTED: u32 = 600;
+
+/// A gateway of sixty before 600 backends in cells of ten: some 64 of them are its own.
+fn rig(seed: u64) -> Rig {
+    let mut settings = settings();
+    settings.gateways = 60;
+    settings.limits.hedges = false;
+    let mut rig = Rig::seeded(settings, 0, seed);
+    let entry = |id: u32| BackendEntry {
+        id,
+        key: u64::from(id),
+        cell: id / 10,
+        zone: id % 3,
+        ..BackendEntry::default()
+    };
+    let entries: Vec<BackendEntry> = (0..LISTED).map(entry).collect();
+    rig.on(Event::Backends { scope: ListScope::Full, entries: &entries });
+    rig
+}
+
+fn ask(rig: &mut Rig, id: u64, class: usize) -> Option<u32> {
+    rig.now += 5.0;
+    let expires_ms = rig.now + 4_000.0;
+    sent_to(&rig.ask(Request { customer: id, expires_ms, ..request(id, class, 3, 1.0) }))
+}
+
+/// Asks so often, each served at once; gives how often each backend was.
+fn served(rig: &mut Rig, from: u64, count: u64) -> BTreeMap<u32, u32> {
+    let mut got = BTreeMap::new();
+    for id in from..from + count {
+        let to = ask(rig, id, 0).expect("sent");
+        rig.end(id, 0, to, Outcome::Ok);
+        *got.entry(to).or_default() += 1;
+    }
+    got
+}
+
+#[test]
+fn a_gateway_keeps_to_its_own_backends_and_uses_them_all_alike() {
+    let got = served(&mut rig(1), 0, 6_400);
+    assert!((40..=90).contains(&got.len()), "{} backends", got.len());
+    // Which of them seem a little slower is chance, and they get less while nothing presses.
+    let mean = 6_400.0 / got.len() as f64;
+    assert!(got.values().all(|n| *n > 5 && f64::from(*n) < mean * 2.0), "{got:?}");
+}
+
+#[test]
+fn a_home_that_is_lost_spills_over_to_the_fleet_and_back() {
+    let mut rig = rig(2);
+    let home: BTreeSet<u32> = served(&mut rig, 0, 6_400).into_keys().collect();
+    // All of its own refuse connections; the others serve.
+    let (mut outside, mut refused) = (BTreeSet::new(), 0);
+    for id in 10_000..14_000 {
+        let Some(mut to) = ask(&mut rig, id, 0) else {
+            refused += 1;
+            continue;
+        };
+        for attempt in 0.. {
+            let bad = home.contains(&to);
+            let outcome = if bad { Outcome::ConnectFailed } else { Outcome::Ok };
+            let actions = rig.end(id, attempt, to, outcome);
+            if !bad {
+                outside.insert(to);
+            }
+            let Some(next) = sent_to(&actions) else {
+                refused += u32::from(bad);
+                break;
+            };
+            to = next;
+        }
+    }
+    assert!(refused < 200, "{refused} of 4,000 without an answer while 500 backends are well");
+    assert!(outside.len() > 400, "work spread over {} of the others", outside.len());
+    // They are back when probes say so.
+    for backend in &home {
+        rig.on(Event::Probed { backend: *backend, outcome: Outcome::Ok, load: &[] });
+    }
+    let back = served(&mut rig, 20_000, 2_000);
+    assert!(back.keys().all(|b| home.contains(b)), "back home");
+}
+
+#[test]
+fn ejections_are_passed_over_only_when_most_of_the_fleet_has_them() {
+    let mut rig = rig(3);
+    // Each backend that is tried fails; so in the end more than half of all are ejected.
+    let (mut tried, mut sent) = (BTreeSet::new(), 0);
+    for id in 0..6_000 {
+        let Some(to) = ask(&mut rig, id, 2) else { continue };
+        sent += 1;
+        tried.insert(to);
+        rig.end(id, 0, to, Outcome::Error);
+    }
+    // First the home, then the fleet, up to the half of it; from there on all get work again.
+    assert!(tried.len() > LISTED as usize / 2, "{} tried", tried.len());
+    let ejected = rig.gateway.backends(rig.now).filter(|b| b.ejected).count();
+    assert!(ejected > LISTED as usize / 2, "{ejected} ejected");
+    assert!(sent > 3_000, "{sent} sent");
+}
+
+#[test]
+fn a_further_attempt_never_goes_where_one_was() {
+    let mut rig = rig(4);
+    let mut further = 0;
+    for id in 0..3_000 {
+        let Some(mut to) = ask(&mut rig, id, 0) else { continue };
+        let mut tried = BTreeSet::new();
+        for attempt in 0.. {
+            assert!(tried.insert(to), "request {id} went to {to} again");
+            // One in ten fails at first, and each of its further attempts.
+            let bad = id % 10 == 0;
+            let actions = rig.end(id, attempt, to, if bad { Outcome::Full } else { Outcome::Ok });
+            let Some(next) = sent_to(&actions) else { break };
+            (to, further) = (next, further + 1);
+        }
+    }
+    assert!(further > 500, "{further} further attempts");
+}
+
+#[test]
+fn a_keyed_request_that_may_have_run_keeps_to_its_cell_beyond_the_home() {
+    let mut rig = rig(5);
+    let mut further = 0;
+    for id in 0..2_000 {
+        let Some(mut to) = ask(&mut rig, id, 1) else { continue };
+        let cell = to / 10;
+        for attempt in 0.. {
+            assert_eq!(to / 10, cell, "request {id}");
+            let bad = id % 10 == 0 && attempt < 2;
+            let actions = rig.end(id, attempt, to, if bad { Outcome::Error } else { Outcome::Ok });
+            let Some(next) = sent_to(&actions) else { break };
+            (to, further) = (next, further + 1);
+        }
+    }
+    // Of ten in a cell about one is this gateway's own, so most had to go beyond.
+    assert!(further >= 80, "{further} further attempts");
+}
+
+#[test]
+fn a_backend_that_is_gone_is_kept_while_something_is_out_and_no_longer() {
+    let mut rig = rig(6);
+    let to = ask(&mut rig, 1, 2).expect("sent");
+    let gone = BackendEntry { id: to, state: Readiness::Gone, ..BackendEntry::default() };
+    rig.on(Event::Backends { scope: ListScope::Delta, entries: std::slice::from_ref(&gone) });
+    assert_eq!(rig.gateway.backends(rig.now).filter(|b| b.id == to).count(), 0);
+    // One that waits for so long looks like a jam, so some of these are refused.
+    let mut sent = 0;
+    for id in 100..2_100 {
+        let Some(other) = ask(&mut rig, id, 0) else { continue };
+        assert_ne!(other, to, "nothing new goes there");
+        rig.end(id, 0, other, Outcome::Ok);
+        sent += 1;
+    }
+    assert!(sent > 500, "{sent} sent");
+    rig.end(1, 0, to, Outcome::Ok);
+    // Back under its number with nothing of its past, and used again.
+    let back = BackendEntry { id: to, key: u64::from(to), cell: to / 10, ..BackendEntry::default() };
+    rig.on(Event::Backends { scope: ListScope::Delta, entries: std::slice::from_ref(&back) });
+    assert!(served(&mut rig, 10_000, 2_000).contains_key(&to));
+}
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -11,6 +11,8 @@
 //! [`overseen`] has gateways that are nothing but an admin listener, for an agent with a thousand of them;
 //! [`scripted`] has the older stand-ins, whose every message a test answers by hand.
 //!
+//! [`rig`] has many gateways' decisions before thousands of backends, in simulated time.
+//!
 //! Nothing here is part of a gateway, and nothing listens on any address but loopback.
 
 pub mod audit;
@@ -22,6 +24,7 @@
 pub mod overseen;
 pub mod platform;
 mod resp;
+pub mod rig;
 pub mod script;
 pub mod scripted;
 pub mod switch;
--- /dev/null
+++ b/crates/testbed/src/rig.rs
@@ -0,0 +1,165 @@
+//! A rig in simulated time: many gateways, each with the decision module as it is, before a large fleet of
+//! backends, by a seed. The same seed gives the same run on every machine.
+//!
+//! ```text
+//!  arrivals ──▶ a gateway's decisions ──▶ backends: slots, a queue, warmth, troubles
+//!     (seed)      whole, or subset                │
+//!       └──────▶ ideal: sees all true states ─────┘──▶ Report: served in time, p50, p99, waste, spread
+//! ```
+
+mod backend;
+mod world;
+
+pub use world::run;
+
+use hdrhistogram::Histogram;
+
+/// Who chooses the backends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Chooser {
+    /// The decision module, which looks at every backend for every request.
+    Whole,
+    /// The decision module with a subset for each gateway and a few choices.
+    Subset,
+    /// One that sees the true state of all backends and makes no mistake. It bounds what can be had.
+    Ideal,
+}
+
+/// What goes wrong with a part of the backends, between two times.
+#[derive(Clone, Copy, Debug)]
+pub struct Trouble {
+    /// Begins then, ms.
+    pub from_ms: f64,
+    /// Ends then, ms.
+    pub to_ms: f64,
+    /// Whom it befalls.
+    pub who: Who,
+    /// What it is.
+    pub what: What,
+}
+
+/// Whom a trouble befalls.
+#[derive(Clone, Copy, Debug)]
+pub enum Who {
+    /// Each with this chance.
+    Part(f64),
+    /// Those of a zone.
+    Zone(u32),
+    /// Those of a cell.
+    Cell(u32),
+}
+
+/// What a trouble is.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum What {
+    /// Requests take so many times longer.
+    Slow(f64),
+    /// This part of the requests fails at once.
+    Failing(f64),
+    /// Nothing connects.
+    Dead,
+}
+
+/// A run.
+#[derive(Clone, Debug)]
+pub struct Shape {
+    /// Gateways, each with as many requests as any other.
+    pub gateways: u32,
+    /// Backends at the start.
+    pub backends: u32,
+    /// Zones, each with as many backends as any other; gateways too.
+    pub zones: u32,
+    /// Backends of a cell, which drop each other's repeats.
+    pub cell: u32,
+    /// Requests that a backend works on at once.
+    pub slots: u32,
+    /// Requests that may wait there.
+    pub queue: usize,
+    /// Mean time of a request on a warm backend, ms.
+    pub takes_ms: f64,
+    /// Requests that come, as a part of what all warm backends can do.
+    pub load: f64,
+    /// How long requests come, ms.
+    pub lasts_ms: f64,
+    /// Backends that start, cold, all at once, and when, ms.
+    pub cold: (u32, f64),
+    /// What goes wrong.
+    pub troubles: Vec<Trouble>,
+    /// Who chooses.
+    pub chooser: Chooser,
+    /// Chance of everything.
+    pub seed: u64,
+}
+
+impl Default for Shape {
+    fn default() -> Self {
+        Shape {
+            gateways: 20,
+            backends: 1_000,
+            zones: 3,
+            cell: 10,
+            slots: 2,
+            queue: 16,
+            takes_ms: 20.0,
+            load: 0.6,
+            lasts_ms: 4_000.0,
+            cold: (0, 0.0),
+            troubles: Vec::new(),
+            chooser: Chooser::Subset,
+            seed: 1,
+        }
+    }
+}
+
+/// What a run came to.
+#[derive(Clone, Debug)]
+pub struct Report {
+    /// Requests that came.
+    pub asked: u64,
+    /// Served within the aim.
+    pub in_time: u64,
+    /// Served at all.
+    pub served: u64,
+    /// Refused.
+    pub refused: u64,
+    /// Failed.
+    pub failed: u64,
+    /// Without any answer, or with two. It must be 0.
+    pub broken: u64,
+    /// Attempts that were sent.
+    pub attempts: u64,
+    /// Keyed requests that ran in more than one cell. It must be 0.
+    pub strayed: u64,
+    /// Attempts to a backend that was tried before, while another was listed ready. It must be 0.
+    pub again: u64,
+    /// Work done for nobody, as a part of all work.
+    pub wasted: f64,
+    /// Latencies of what was served, us.
+    pub latencies: Histogram<u64>,
+    /// Work that each backend without a trouble was sent, over their mean: the greatest, and the deviation.
+    pub spread: (f64, f64),
+    /// The most of the rule on cold backends that one used in any of its windows; above 1 it falls.
+    pub cold_most: f64,
+    /// The least work that a cold backend was sent, over the mean of the warm ones in that time.
+    pub cold_least: f64,
+}
+
+impl Report {
+    /// Part of the requests that was served in time.
+    #[must_use]
+    pub fn worth(&self) -> f64 {
+        self.in_time as f64 / self.asked.max(1) as f64
+    }
+
+    /// Attempts for each request that was sent on.
+    #[must_use]
+    pub fn attempts_each(&self) -> f64 {
+        self.attempts as f64 / (self.asked - self.refused).max(1) as f64
+    }
+
+    /// A quantile, from 0 to 1, of the latency of what was served, ms.
+    #[must_use]
+    pub fn latency_ms(&self, quantile: f64) -> f64 {
+        self.latencies.value_at_quantile(quantile) as f64 / 1000.0
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/rig/backend.rs
@@ -0,0 +1,130 @@
+//! A backend in simulated time.
+
+use std::collections::VecDeque;
+
+use super::{Shape, What};
+use crate::platform::{OVERLOAD_FOR_MS, START_CAPACITY, TIP_MULTIPLE, WARM_UP_MS};
+
+/// A request at a backend.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Job {
+    /// Its attempt's number.
+    pub attempt: usize,
+    /// What it takes on a warm backend without trouble, ms.
+    pub work: f64,
+}
+
+#[derive(Debug)]
+pub(super) struct Backend {
+    pub zone: u32,
+    pub cell: u32,
+    /// When it started; 0 for long ago.
+    pub started: f64,
+    pub trouble: Option<What>,
+    /// Whether it ever had one.
+    pub troubled: bool,
+    pub busy: u32,
+    /// Requests on the way here.
+    pub coming: u32,
+    pub waiting: VecDeque<Job>,
+    /// Work that was sent here.
+    pub sent: f64,
+    /// When, and how much, while it was cold.
+    pub cold: Vec<(f64, f64)>,
+    slots: u32,
+    queue: usize,
+}
+
+impl Backend {
+    pub fn new(shape: &Shape, number: u32, started: f64) -> Backend {
+        Backend {
+            // Zones have as many of each cell, so that the loss of one is not that of the other.
+            zone: number % shape.zones.max(1),
+            cell: number / shape.cell.max(1),
+            started,
+            trouble: None,
+            troubled: false,
+            busy: 0,
+            coming: 0,
+            waiting: VecDeque::new(),
+            sent: 0.0,
+            cold: Vec::new(),
+            slots: shape.slots,
+            queue: shape.queue,
+        }
+    }
+
+    /// Part of its capacity that it has.
+    pub fn warmth(&self, now: f64) -> f64 {
+        if self.started <= 0.0 {
+            return 1.0;
+        }
+        let grown = ((now - self.started) / WARM_UP_MS).clamp(0.0, 1.0);
+        START_CAPACITY + (1.0 - START_CAPACITY) * grown
+    }
+
+    /// How much longer than its work a request takes.
+    pub fn pace(&self, now: f64) -> f64 {
+        let slow = if let Some(What::Slow(by)) = self.trouble { by } else { 1.0 };
+        slow / self.warmth(now)
+    }
+
+    /// Notes work that is sent here.
+    pub fn sends(&mut self, now: f64, work: f64) {
+        self.sent += work;
+        if self.warmth(now) < 1.0 {
+            self.cold.push((now, work));
+        }
+    }
+
+    /// Takes a job in: `Some(true)` if its work begins, `Some(false)` if it waits, `None` if there is no
+    /// room.
+    pub fn take(&mut self, job: Job) -> Option<bool> {
+        if self.busy < self.slots {
+            self.busy += 1;
+            return Some(true);
+        }
+        if self.waiting.len() >= self.queue {
+            return None;
+        }
+        self.waiting.push_back(job);
+        Some(false)
+    }
+
+    /// Ends a job; gives the one that begins in its stead.
+    pub fn done(&mut self) -> Option<Job> {
+        let next = self.waiting.pop_front();
+        self.busy -= u32::from(next.is_none());
+        next
+    }
+
+    /// Expected time until one more request would be done, in those that a warm one takes.
+    pub fn expected(&self, now: f64) -> f64 {
+        let before = self.waiting.len() as f64 + f64::from(self.busy + self.coming);
+        let slots = f64::from(self.slots);
+        // One try that fails is one more to make.
+        let tries = match self.trouble {
+            Some(What::Dead) => f64::INFINITY,
+            Some(What::Failing(part)) => 1.0 / (1.0 - part).max(f64::MIN_POSITIVE),
+            _ => 1.0,
+        };
+        tries * self.pace(now) * (1.0 + (before + 1.0 - slots).max(0.0) / slots)
+    }
+
+    /// The most of the rule on cold backends that any of its windows used: work sent over multiple times
+    /// present capacity times length.
+    pub fn cold_most(&self) -> f64 {
+        let (mut most, mut first, mut sum) = (0.0f64, 0, 0.0);
+        for (at, work) in &self.cold {
+            sum += work;
+            while at - self.cold[first].0 > OVERLOAD_FOR_MS {
+                sum -= self.cold[first].1;
+                first += 1;
+            }
+            let may =
+                TIP_MULTIPLE * self.warmth(self.cold[first].0) * f64::from(self.slots) * OVERLOAD_FOR_MS;
+            most = most.max(sum / may);
+        }
+        most
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/rig/world.rs
@@ -0,0 +1,486 @@
+//! The world of a run: a clock, what happens next, and the books.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, HashSet};
+
+use hdrhistogram::Histogram;
+use slatelock::interface::{
+    Action, BackendEntry, Class, Effect, Event, Group, Limits, ListScope, Outcome, Plan, Request, Routing,
+    Settings, SlowStart,
+};
+use slatelock::Gateway;
+
+use super::backend::{Backend, Job};
+use super::{Chooser, Report, Shape, What, Who};
+use crate::platform::{OVERLOAD_FOR_MS, START_CAPACITY, TIP_MULTIPLE, WARM_UP_MS};
+use crate::Dice;
+
+/// One way between a gateway and a backend, ms.
+const WAY_MS: f64 = 0.25;
+/// Aim and deadline of all classes, in mean requests.
+const AIM: (f64, f64) = (10.0, 40.0);
+/// A connection to a dead backend is given up after this, ms.
+const CONNECT_MS: f64 = 250.0;
+/// Where the clock begins, ms: a start at 0 would be one of long ago.
+const BEGIN_MS: f64 = 1_000_000.0;
+/// Requests that a safe, a keyed and an unsafe class have of ten.
+const CLASSES: [u64; 3] = [5, 2, 3];
+
+#[derive(Debug)]
+enum Happens {
+    /// The next request comes.
+    Arrival,
+    /// An attempt reaches its backend.
+    Reaches(usize),
+    /// The work of an attempt is done.
+    Done(usize),
+    /// An attempt's outcome reaches its gateway.
+    Told(usize, Outcome),
+    Timer(u32, u64),
+    Probed(u32, u32, bool),
+    /// A trouble begins or ends.
+    Trouble(usize, bool),
+    Start,
+}
+
+struct Next {
+    at: f64,
+    number: u64,
+    what: Happens,
+}
+
+impl PartialEq for Next {
+    fn eq(&self, other: &Next) -> bool {
+        self.number == other.number
+    }
+}
+
+impl Eq for Next {}
+
+impl PartialOrd for Next {
+    fn partial_cmp(&self, other: &Next) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Next {
+    fn cmp(&self, other: &Next) -> std::cmp::Ordering {
+        self.at.total_cmp(&other.at).then(self.number.cmp(&other.number))
+    }
+}
+
+struct Asked {
+    at: f64,
+    class: usize,
+    work: f64,
+    gateway: u32,
+    answers: u32,
+    attempts: Vec<usize>,
+}
+
+struct Attempt {
+    request: u64,
+    nth: u32,
+    backend: u32,
+    sent: f64,
+    /// What its work takes here, ms, once it has begun.
+    takes: Option<f64>,
+    /// Its outcome is on the way or told.
+    settled: bool,
+    /// It ran, and its answer was the final one.
+    used: bool,
+}
+
+struct World<'a> {
+    shape: &'a Shape,
+    now: f64,
+    happens: BinaryHeap<Reverse<Next>>,
+    number: u64,
+    dice: Dice,
+    gateways: Vec<Gateway>,
+    backends: Vec<Backend>,
+    asked: HashMap<u64, Asked>,
+    attempts: Vec<Attempt>,
+    last: u64,
+    report: Report,
+}
+
+fn settings(shape: &Shape, me: u32) -> Settings {
+    let (aim_ms, deadline_ms) = (AIM.0 * shape.takes_ms, AIM.1 * shape.takes_ms);
+    let class = |effect| Class {
+        aim_ms,
+        deadline_ms,
+        worth: 1.0,
+        late_worth: 0.0,
+        effect,
+        group: Group::Cell,
+        window_ms: 5_000.0,
+        streaming: false,
+    };
+    let routing = match shape.chooser {
+        Chooser::Whole => {
+            Routing { whole: usize::MAX, subset: u32::MAX, coverage: u32::MAX, ..Routing::default() }
+        }
+        _ => Routing::default(),
+    };
+    Settings {
+        me,
+        gateways: shape.gateways,
+        zone: me % shape.zones.max(1),
+        tick_ms: 1.0,
+        classes: vec![class(Effect::Safe), class(Effect::Keyed), class(Effect::Unsafe)],
+        plans: vec![Plan { value: 1.0, ..Plan::default() }],
+        counter: false,
+        counter_timeout_ms: 50.0,
+        meter_ms: 0.0,
+        peer_messages_per_s: 0.0,
+        max_units: 4.0,
+        limits: Limits {
+            max_attempts: 4,
+            cancel: true,
+            hedges: false,
+            probes: true,
+            retry_advice: false,
+            max_retry_after_ms: 0.0,
+            connect_timeout_ms: CONNECT_MS,
+        },
+        slow_start: SlowStart {
+            start_capacity: START_CAPACITY,
+            warm_up_ms: WARM_UP_MS,
+            tip_multiple: TIP_MULTIPLE,
+            overload_for_ms: OVERLOAD_FOR_MS,
+        },
+        routing,
+        customers: 1_000,
+        load_fields: Vec::new(),
+        ask_for_list: false,
+        ask_within_ms: 10_000.0,
+        cross_zone_cost: 0.0,
+    }
+}
+
+fn entry(number: u32, backend: &Backend) -> BackendEntry {
+    BackendEntry {
+        id: number,
+        key: u64::from(number),
+        cell: backend.cell,
+        zone: backend.zone,
+        started_ms: backend.started,
+        ..BackendEntry::default()
+    }
+}
+
+/// Plays a run to its end.
+///
+/// # Panics
+/// If the settings that it makes don't suit the decisions, which is a fault of its own.
+#[must_use]
+pub fn run(shape: &Shape) -> Report {
+    let gateway = |me| Gateway::new(settings(shape, me), shape.seed ^ u64::from(me), BEGIN_MS);
+    let gateways = if shape.chooser == Chooser::Ideal { 0 } else { shape.gateways };
+    let latencies = Histogram::new_with_max(60_000_000, 3).expect("good bounds");
+    let (spread, wasted, cold_most, cold_least) = ((0.0, 0.0), 0.0, 0.0, 0.0);
+    let mut world = World {
+        shape,
+        now: BEGIN_MS,
+        happens: BinaryHeap::new(),
+        number: 0,
+        dice: Dice::new(shape.seed),
+        gateways: (0..gateways).map(|me| gateway(me).expect("sound settings")).collect(),
+        backends: (0..shape.backends).map(|n| Backend::new(shape, n, 0.0)).collect(),
+        asked: HashMap::new(),
+        attempts: Vec::new(),
+        last: 0,
+        report: Report {
+            asked: 0,
+            in_time: 0,
+            served: 0,
+            refused: 0,
+            failed: 0,
+            broken: 0,
+            attempts: 0,
+            strayed: 0,
+            again: 0,
+            wasted,
+            latencies,
+            spread,
+            cold_most,
+            cold_least,
+        },
+    };
+    world.list(0);
+    world.at(0.0, Happens::Arrival);
+    if shape.cold.0 > 0 {
+        world.at(shape.cold.1, Happens::Start);
+    }
+    for (i, trouble) in shape.troubles.iter().enumerate() {
+        world.at(trouble.from_ms, Happens::Trouble(i, true));
+        world.at(trouble.to_ms, Happens::Trouble(i, false));
+    }
+    while let Some(Reverse(next)) = world.happens.pop() {
+        world.now = next.at;
+        world.happen(next.what);
+    }
+    world.close()
+}
+
+impl World<'_> {
+    fn at(&mut self, after: f64, what: Happens) {
+        self.number += 1;
+        self.happens.push(Reverse(Next { at: self.now + after.max(0.0), number: self.number, what }));
+    }
+
+    /// Tells all gateways of the backends from a number on.
+    fn list(&mut self, from: u32) {
+        let entries: Vec<BackendEntry> =
+            (from..).zip(&self.backends[from as usize..]).map(|(n, b)| entry(n, b)).collect();
+        for g in 0..self.gateways.len() {
+            self.tell(g as u32, Event::Backends { scope: ListScope::Delta, entries: &entries });
+        }
+    }
+
+    fn happen(&mut self, what: Happens) {
+        match what {
+            Happens::Arrival => self.arrival(),
+            Happens::Reaches(attempt) => self.reaches(attempt),
+            Happens::Done(attempt) => self.done(attempt),
+            Happens::Told(attempt, outcome) => self.told(attempt, outcome),
+            Happens::Timer(g, token) => {
+                // As in the gateway: what has its answer and nothing out needs no timer any more.
+                let open = Gateway::timer_request(token).is_none_or(|id| self.asked.contains_key(&id));
+                if open {
+                    self.tell(g, Event::Timer { token });
+                }
+            }
+            Happens::Probed(g, backend, ok) => {
+                let outcome = if ok { Outcome::Ok } else { Outcome::ConnectFailed };
+                self.tell(g, Event::Probed { backend, outcome, load: &[] });
+            }
+            Happens::Trouble(i, begins) => {
+                let trouble = self.shape.troubles[i];
+                for b in &mut self.backends {
+                    // The same ones fall ill and get well.
+                    let befalls = match trouble.who {
+                        Who::Part(part) if begins => self.dice.part() < part,
+                        Who::Part(_) => b.trouble == Some(trouble.what),
+                        Who::Zone(zone) => b.zone == zone,
+                        Who::Cell(cell) => b.cell == cell,
+                    };
+                    if befalls {
+                        b.trouble = begins.then_some(trouble.what);
+                        b.troubled = true;
+                    }
+                }
+            }
+            Happens::Start => {
+                let (from, now) = (self.backends.len() as u32, self.now);
+                let new = (from..from + self.shape.cold.0).map(|n| Backend::new(self.shape, n, now));
+                self.backends.extend(new);
+                self.list(from);
+            }
+        }
+    }
+
+    fn arrival(&mut self) {
+        let s = self.shape;
+        let capacity = f64::from(s.backends * s.slots) / s.takes_ms;
+        let wait = -(1.0 - self.dice.part()).ln() / (capacity * s.load);
+        if self.now - BEGIN_MS + wait < s.lasts_ms {
+            self.at(wait, Happens::Arrival);
+        }
+        self.last += 1;
+        let (id, mut draw) = (self.last, self.dice.below(CLASSES.iter().sum()));
+        let class = CLASSES.iter().position(|w| {
+            let here = draw < *w;
+            draw = draw.saturating_sub(*w);
+            here
+        });
+        // Half of the time of a mean request, and a part with a long tail.
+        let work = s.takes_ms * (0.5 - 0.5 * (1.0 - self.dice.part()).ln());
+        let (class, gateway) = (class.unwrap_or(0), self.dice.below(u64::from(s.gateways)) as u32);
+        let asked = Asked { at: self.now, class, work, gateway, answers: 0, attempts: Vec::new() };
+        self.asked.insert(id, asked);
+        self.report.asked += 1;
+        if s.chooser == Chooser::Ideal {
+            return self.ideal(id);
+        }
+        let expires_ms = self.now + AIM.1 * s.takes_ms;
+        let (customer, width) = (id % 500, f64::from(s.gateways));
+        let request = Request { id, customer, plan: 0, class, units: 1.0, width, expires_ms, retry: false };
+        self.tell(gateway, Event::Request(request));
+    }
+
+    /// Sends to the backend where it is done first, by the true state of all.
+    fn ideal(&mut self, id: u64) {
+        let now = self.now;
+        let all = (0..).zip(&self.backends).map(|(n, b)| (n, b.expected(now)));
+        let best = all.filter(|(_, e)| e.is_finite()).min_by(|(_, a), (_, b)| a.total_cmp(b));
+        match best.map(|(n, _)| n) {
+            Some(backend) => self.send(id, backend),
+            None => self.answer(id, Outcome::Full),
+        }
+    }
+
+    fn tell(&mut self, g: u32, event: Event<'_>) {
+        let mut actions = Vec::new();
+        self.gateways[g as usize].handle(self.now, event, &mut actions);
+        for action in actions {
+            match action {
+                Action::Send { id, backend, .. } => self.send(id, backend),
+                Action::Cancel { id, attempt } => {
+                    let place = self.asked.get(&id).map(|asked| asked.attempts[attempt as usize]);
+                    if let Some(place) = place.filter(|place| !self.attempts[*place].settled) {
+                        self.attempts[place].settled = true;
+                        self.at(0.0, Happens::Told(place, Outcome::Cancelled));
+                    }
+                }
+                Action::Refuse { id, .. } => self.answer(id, Outcome::Full),
+                Action::Surrender { id } => self.answer(id, Outcome::Error),
+                Action::Probe { backend } => {
+                    let ok = !matches!(
+                        self.backends[backend as usize].trouble,
+                        Some(What::Dead | What::Failing(_))
+                    );
+                    self.at(2.0 * WAY_MS, Happens::Probed(g, backend, ok));
+                }
+                Action::Timer { token, at_ms } => self.at(at_ms - self.now, Happens::Timer(g, token)),
+                Action::Count { .. } | Action::Tell { .. } | Action::Watch => {}
+            }
+        }
+    }
+
+    fn send(&mut self, id: u64, backend: u32) {
+        let Some(asked) = self.asked.get_mut(&id) else { return };
+        let (nth, place) = (asked.attempts.len() as u32, self.attempts.len());
+        let before = asked.attempts.iter().map(|a| &self.attempts[*a]);
+        let mut tried: HashSet<u32> = before.map(|a| a.backend).collect();
+        asked.attempts.push(place);
+        let work = asked.work;
+        self.report.again += u64::from(!tried.insert(backend));
+        let b = &mut self.backends[backend as usize];
+        b.sends(self.now, work);
+        b.coming += 1;
+        self.report.attempts += 1;
+        let (sent, takes) = (self.now, None);
+        let attempt = Attempt { request: id, nth, backend, sent, takes, settled: false, used: false };
+        self.attempts.push(attempt);
+        self.at(WAY_MS, Happens::Reaches(place));
+    }
+
+    fn reaches(&mut self, place: usize) {
+        let Attempt { request, backend, settled, .. } = self.attempts[place];
+        self.backends[backend as usize].coming -= 1;
+        let Some(asked) = self.asked.get(&request).filter(|_| !settled) else { return };
+        let work = asked.work;
+        match self.backends[backend as usize].trouble {
+            Some(What::Dead) => return self.settle(place, CONNECT_MS, Outcome::ConnectFailed),
+            Some(What::Failing(part)) if self.dice.part() < part => {
+                // It has run, as far as anyone knows.
+                self.attempts[place].takes = Some(0.0);
+                return self.settle(place, WAY_MS, Outcome::Error);
+            }
+            _ => {}
+        }
+        match self.backends[backend as usize].take(Job { attempt: place, work }) {
+            Some(true) => self.begin(place, work),
+            Some(false) => {}
+            None => self.settle(place, WAY_MS, Outcome::Full),
+        }
+    }
+
+    fn begin(&mut self, place: usize, work: f64) {
+        let takes = work * self.backends[self.attempts[place].backend as usize].pace(self.now);
+        self.attempts[place].takes = Some(takes);
+        self.at(takes, Happens::Done(place));
+    }
+
+    fn done(&mut self, place: usize) {
+        let backend = self.attempts[place].backend as usize;
+        // What was given up while it waited is dropped unseen.
+        while let Some(next) = self.backends[backend].done() {
+            if !self.attempts[next.attempt].settled {
+                self.begin(next.attempt, next.work);
+                break;
+            }
+        }
+        if !self.attempts[place].settled {
+            let dead = self.backends[backend].trouble == Some(What::Dead);
+            self.settle(place, WAY_MS, if dead { Outcome::Reset } else { Outcome::Ok });
+        }
+    }
+
+    fn settle(&mut self, place: usize, after: f64, outcome: Outcome) {
+        self.attempts[place].settled = true;
+        self.at(after, Happens::Told(place, outcome));
+    }
+
+    fn told(&mut self, place: usize, outcome: Outcome) {
+        let Attempt { request: id, nth, backend, sent, .. } = self.attempts[place];
+        let Some(asked) = self.asked.get(&id) else { return };
+        let (g, open) = (asked.gateway, asked.answers == 0);
+        if outcome == Outcome::Ok && open {
+            self.attempts[place].used = true;
+            self.answer(id, Outcome::Ok);
+        } else if self.shape.chooser == Chooser::Ideal && open {
+            // It makes no mistake, but requests that were there when a trouble began are sent anew.
+            return self.ideal(id);
+        }
+        if self.shape.chooser != Chooser::Ideal {
+            let (latency_ms, closed) = (self.now - sent, self.asked[&id].answers > 0);
+            let (metered, charged, load) = (None, None, &[][..]);
+            let attempt = nth;
+            self.tell(
+                g,
+                Event::Ended { id, attempt, backend, outcome, latency_ms, closed, metered, charged, load },
+            );
+        }
+    }
+
+    fn answer(&mut self, id: u64, outcome: Outcome) {
+        let Some(asked) = self.asked.get_mut(&id) else { return };
+        asked.answers += 1;
+        if asked.answers > 1 {
+            return;
+        }
+        let took = self.now - asked.at;
+        match outcome {
+            Outcome::Ok => {
+                self.report.served += 1;
+                self.report.in_time += u64::from(took <= AIM.0 * self.shape.takes_ms);
+                self.report.latencies.saturating_record((took * 1000.0) as u64);
+            }
+            Outcome::Full => self.report.refused += 1,
+            _ => self.report.failed += 1,
+        }
+    }
+
+    fn close(mut self) -> Report {
+        let (mut all, mut wasted) = (0.0, 0.0);
+        for attempt in &self.attempts {
+            let takes = attempt.takes.unwrap_or(0.0);
+            all += takes;
+            wasted += if attempt.used { 0.0 } else { takes };
+        }
+        self.report.wasted = if all > 0.0 { wasted / all } else { 0.0 };
+        for asked in self.asked.values() {
+            self.report.broken += u64::from(asked.answers != 1);
+            // The ideal one is held to no rule but to answer once.
+            if asked.class == 1 && self.shape.chooser != Chooser::Ideal {
+                let ran = asked.attempts.iter().map(|a| &self.attempts[*a]).filter(|a| a.takes.is_some());
+                let cells: HashSet<u32> = ran.map(|a| self.backends[a.backend as usize].cell).collect();
+                self.report.strayed += u64::from(cells.len() > 1);
+            }
+        }
+        let well: Vec<f64> =
+            self.backends.iter().filter(|b| !b.troubled && b.started <= 0.0).map(|b| b.sent).collect();
+        let mean = well.iter().sum::<f64>() / well.len().max(1) as f64;
+        let off = well.iter().map(|w| (w - mean).powi(2)).sum::<f64>() / well.len().max(1) as f64;
+        self.report.spread = (well.iter().fold(0.0, |a: f64, b| a.max(*b)) / mean, off.sqrt() / mean);
+        let cold: Vec<&Backend> = self.backends.iter().filter(|b| b.started > 0.0).collect();
+        self.report.cold_most = cold.iter().map(|b| b.cold_most()).fold(0.0, f64::max);
+        let part = (self.shape.lasts_ms - self.shape.cold.1) / self.shape.lasts_ms;
+        let least = cold.iter().map(|b| b.sent).fold(f64::MAX, f64::min);
+        self.report.cold_least = if cold.is_empty() { 0.0 } else { least / (mean * part) };
+        self.report
+    }
+}
