Tests of routing that were blind to two of their guards

Broken on purpose, one guard at a time: a home that is not left, a cell that is not kept to, and ejections never passed over made a test fail. A further attempt that may go back to where it was did not, nor did ejections passed over by the home's count in place of the fleet's. Now both do: by a backend that is the fastest by far and fails now and then, and by looking at whom each request goes to.

--- a/crates/slatelock/tests/routing.rs
+++ b/crates/slatelock/tests/routing.rs
@@ -94,9 +94,19 @@
     // Each backend that is tried fails; so in the end more than half of all are ejected.
     let (mut tried, mut sent) = (BTreeSet::new(), 0);
     for id in 0..6_000 {
+        let all: Vec<_> = rig.gateway.backends(rig.now).collect();
+        let ejected: BTreeSet<u32> = all.iter().filter(|b| b.ejected).map(|b| b.id).collect();
         let Some(to) = ask(&mut rig, id, 2) else { continue };
         sent += 1;
         tried.insert(to);
+        if ejected.len() * 2 < all.len() {
+            assert!(
+                !ejected.contains(&to),
+                "{to} got work while {} of {} are well",
+                ejected.len(),
+                all.len()
+            );
+        }
         rig.end(id, 0, to, Outcome::Error);
     }
     // First the home, then the fleet, up to the half of it; from there on all get work again.
@@ -123,6 +133,33 @@
         }
     }
     assert!(further > 500, "{further} further attempts");
+    // Also where the one that was tried is the fastest by far.
+    let (mut rig, mut further) = (Rig::new(settings(), 3), 0);
+    for id in 0..1_000 {
+        let Some(mut to) = ask(&mut rig, id, 0) else { continue };
+        let mut tried = BTreeSet::new();
+        for attempt in 0..3 {
+            assert!(tried.insert(to), "request {id} went to {to} again");
+            let bad = to == 0 && id % 10 == 0;
+            let outcome = if bad { Outcome::Error } else { Outcome::Ok };
+            let (metered, charged, load, backend) = (None, None, &[][..], to);
+            let (latency_ms, closed) = (if to == 0 { 10.0 } else { 80.0 }, !bad);
+            let actions = rig.on(Event::Ended {
+                id,
+                attempt,
+                backend,
+                outcome,
+                latency_ms,
+                closed,
+                metered,
+                charged,
+                load,
+            });
+            let Some(next) = sent_to(&actions) else { break };
+            (to, further) = (next, further + 1);
+        }
+    }
+    assert!(further > 30, "{further} further attempts where all is looked at");
 }
 
 #[test]
