--- /dev/null
+++ b/crates/gateway/tests/routing.rs
@@ -0,0 +1,11 @@
+//! The operator's file and the decisions agree on what is looked at where nobody says so.
+
+#[test]
+fn without_a_section_the_decisions_defaults_hold() {
+    let told = beechrudder_operator::Operator::default().routing;
+    let own = slatelock::interface::Routing::default();
+    assert_eq!(
+        (told.whole, told.choices, told.subset, told.coverage),
+        (own.whole, own.choices, own.subset, own.coverage)
+    );
+}
