A test that cold backends get nothing from gateways they are no home of

Cause: with that guard taken out of the decisions every test passed, the rig's with a hundred cold ones too: its homes are well, so no gateway draws beyond them.

Change: a test in which the home is lost and half of the fleet beyond it is cold. It fails without the guard. No source but the test changed.

--- a/crates/slatelock/tests/routing.rs
+++ b/crates/slatelock/tests/routing.rs
@@ -116,6 +116,34 @@
     assert!(sent > 3_000, "{sent} sent");
 }
 
+#[test]
+fn a_cold_backend_gets_nothing_from_a_gateway_that_it_is_no_home_of() {
+    let mut rig = rig(7);
+    let home: BTreeSet<u32> = served(&mut rig, 0, 6_400).into_keys().collect();
+    // Every second one outside begins anew, and all of the home refuses connections.
+    let cold = |id: u32| id % 2 == 1 && !home.contains(&id);
+    let started_ms = rig.now;
+    let entry = |id: u32| {
+        let (key, cell, zone) = (u64::from(id), id / 10, id % 3);
+        BackendEntry { id, key, cell, zone, started_ms, ..BackendEntry::default() }
+    };
+    let entries: Vec<BackendEntry> = (0..LISTED).filter(|id| cold(*id)).map(entry).collect();
+    rig.on(Event::Backends { scope: ListScope::Delta, entries: &entries });
+    let mut outside = 0;
+    for id in 10_000..11_000 {
+        let Some(mut to) = ask(&mut rig, id, 0) else { continue };
+        for attempt in 0.. {
+            assert!(!cold(to), "{to} is cold, and other gateways' to warm up");
+            let bad = home.contains(&to);
+            outside += u32::from(!bad);
+            let actions = rig.end(id, attempt, to, if bad { Outcome::ConnectFailed } else { Outcome::Ok });
+            let Some(next) = sent_to(&actions) else { break };
+            to = next;
+        }
+    }
+    assert!(outside > 500, "{outside} beyond the home");
+}
+
 #[test]
 fn a_further_attempt_never_goes_where_one_was() {
     let mut rig = rig(4);
