Use as backends tell it is plain percent, and 0 is told too

The reader took 1 off again and passed over 0, so a told use of 37 was taken for 36, and an idle customer for one of whom nothing is known. Lines at fault: `Facts::take` in crates/gateway/src/backends.rs.

A test of the reader; with the old lines it has 0.36 for 0.37 and nothing for 0.

--- a/crates/gateway/src/backends.rs
+++ b/crates/gateway/src/backends.rs
@@ -349,7 +349,7 @@
         for (name, value) in word.split(',').filter_map(|pair| pair.split_once('=')) {
             let Some(value) = resp::amount(value) else { continue };
             match name {
-                "used" if value > 0.0 => self.metered = Some((value - 1.0) / 100.0),
+                "used" => self.metered = Some(value / 100.0),
                 "cost" if value > 0.0 => self.charged = Some(value),
                 _ => {
                     let place = fields.iter().position(|f| f == name);
@@ -362,3 +362,24 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn use_is_told_in_percent_of_the_rate_and_nothing_is_told_of_what_is_missing() {
+        let facts = |words: &str| {
+            let line = BytesFrame::Error(format!("ERR failed {words}").into());
+            match turned_down(line, &["rps".to_string()]) {
+                Some(Reply::Failed(Outcome::Error, facts)) => facts,
+                other => panic!("{other:?}"),
+            }
+        };
+        for (words, metered) in [("used=37", Some(0.37)), ("used=0,cost=4", Some(0.0)), ("cost=4", None)] {
+            assert_eq!(facts(words).metered, metered, "{words}");
+        }
+        let both = facts("used=250,cost=4 rps=12.5");
+        assert_eq!((both.metered, both.charged, &both.load[..]), (Some(2.5), Some(4.0), &[12.5][..]));
+    }
+}
