Totals of the counter hold lost refill, so all gateways read one level off them

Checked by a true store beside the decisions, and by a trace of each total: all are sent by a counter call, so want of calls is ruled out; half of the refusals without a call were of customers whose true store had the units; two gateways that read the same totals differ by a third of the burst for tens of seconds.

Cause, `Customer::roll` and `Gateway::counted` in crates/slatelock/src/control.rs: each gateway adds up what it sees between its own totals. What others spend between a window's last total and its end is lost, refill at the brim is guessed, and a request beyond the quota lowers what all others believe. Nothing brings the levels together again.

Change: lost refill goes into the total as well, so level = burst + rate x time in the window - total, at every gateway. The store is a module of its own, crates/slatelock/src/store.rs, without I/O or clock.

--- a/crates/slatelock/src/control.rs
+++ b/crates/slatelock/src/control.rs
@@ -3,17 +3,14 @@
 //! the design and what was added.
 
 use crate::interface::*;
-use crate::state::{mix, part, roll, Attempt, Backend, Call, Choice, Customer, End, Fleet, Held, Ratio};
-use beechrudder_records::{Kept, Records};
+use crate::state::{mix, roll, Attempt, Backend, Call, Choice, End, Fleet, Held, Ratio};
+use crate::store::{Customer, LOCAL_PART, MEMORY_FILLS, WINDOW_MS};
+use beechrudder_records::Records;
 use beechrudder_routing::{From, Index, Reach, Subset};
 use std::collections::{HashMap, HashSet, VecDeque};
 
 /// Part of the room for records that is taken when newcomers have no local part.
 const PRESSED: f64 = 0.75;
-/// Part of an even share of burst and rate that a gateway spends before it calls (the design's tenth).
-const LOCAL_PART: f64 = 0.1;
-/// Fill times of the store in which what was seen of a customer's demand fades.
-const MEMORY_FILLS: f64 = 4.0;
 /// Demand, as a part of the rate, up to which a customer needs no call while the counter is crowded.
 const CALM_DEMAND: f64 = 0.5;
 /// What a failed call and a slow one make of the chance of calls, and what it gains in a second of answers.
@@ -22,10 +19,6 @@
 const CALL_LEAST: f64 = 0.05;
 /// Weight of an answer in the least latency of calls, where it is above that.
 const CALL_RISE: f64 = 0.001;
-/// A total below this part of the last one is that of a counter that began anew.
-const RESTARTED: f64 = 0.5;
-/// Longest window, ms; its name is kept for two, and 60 s is the longest a counter keeps one.
-const WINDOW_LONGEST_MS: f64 = 30_000.0;
 /// Part of a class's aim that waiting for the counter may take.
 const COUNT_WAIT_PART: f64 = 0.125;
 /// Latency of a mean request before any was seen, as a part of the aim.
@@ -77,6 +70,9 @@
 const COUNT_WAIT: u64 = 2;
 const WATCH: u64 = 3;
 
+/// Stands for the request of a call that none waits for.
+const NOBODY: u64 = u64::MAX;
+
 /// Decides for one gateway.
 #[derive(Debug)]
 pub struct Gateway {
@@ -260,89 +256,6 @@
     }
 }
 
-impl Customer {
-    fn new(key: u64, plan: Plan, width: f64, now: f64, born: f64) -> Self {
-        let (level, window) = (plan.burst, u64::MAX);
-        // Danger: an earlier life of this gateway may have spent the ceiling; only what has filled
-        // since this life began is surely there.
-        let ceiling = (plan.ceiling_rate * (now - born) / 1000.0).min(plan.ceiling_burst) / width;
-        let (local, heard, spilled) = (level * LOCAL_PART / width, f64::MIN, level);
-        let (at, demand) = (now, Ratio::default());
-        Customer {
-            key,
-            plan,
-            width,
-            at,
-            level,
-            spilled,
-            local,
-            window,
-            heard,
-            demand,
-            ceiling,
-            ..Self::default()
-        }
-    }
-
-    /// Number of the window at `now`, the time spent in it, and its length.
-    fn window_at(&self, now: f64) -> (u64, f64, f64) {
-        if self.plan.rate <= 0.0 {
-            return (0, 0.0, 1.0);
-        }
-        let length = self.plan.burst / self.plan.rate * 1000.0;
-        let length = length.min(WINDOW_LONGEST_MS);
-        let phased = now + length * part(mix(self.key));
-        let number = (phased / length).floor();
-        (number as u64, phased - number * length, length)
-    }
-
-    fn refill(&mut self, now: f64) {
-        let seconds = (now - self.at).max(0.0) / 1000.0;
-        self.at = now;
-        let (plan, even, given) = (&self.plan, 1.0 / self.width, self.plan.rate * seconds);
-        let filled = self.level + given;
-        self.spilled = (self.spilled + (filled - plan.burst).max(0.0)).min(plan.burst);
-        self.level = filled.min(plan.burst);
-        self.local = (self.local + given * LOCAL_PART * even).min(plan.burst * LOCAL_PART * even);
-        self.ceiling = (self.ceiling + plan.ceiling_rate * seconds * even).min(plan.ceiling_burst * even);
-        self.unreported = self.unreported.min(plan.burst);
-        let keep = self.faded(given);
-        (self.own, self.others) = (self.own * keep, self.others * keep);
-    }
-
-    /// Whether some of the ceiling is spent. Danger: a part that rounding never fills, and a record for good.
-    fn spent(&self) -> bool {
-        self.ceiling < self.plan.ceiling_burst / self.width * 0.999_999
-    }
-
-    /// What is left of a memory after the rate gave so many units.
-    fn faded(&self, given: f64) -> f64 {
-        (-given / (self.plan.burst * MEMORY_FILLS).max(f64::MIN_POSITIVE)).exp()
-    }
-
-    /// This gateway's learned share of the customer's use; even until known.
-    fn share(&self, prior: f64) -> f64 {
-        (self.own + prior / self.width) / (self.own + self.others + prior)
-    }
-
-    /// A new window starts from nothing. Refill lost since its start may have been spent by others
-    /// only as far as the last total is younger than a fill; else the total alone decides, as in the
-    /// design.
-    fn roll(&mut self, window: u64, start: f64, now: f64, counted: f64) {
-        let fill = self.plan.burst / self.plan.rate * 1000.0;
-        let idle = 1.0 - self.demand.with_prior(CALM_DEMAND, self.plan.burst * LOCAL_PART);
-        let trust = (1.0 - (start - self.heard).max(0.0) / fill).max(idle * counted).max(0.0);
-        self.spilled = self.spilled.min(self.plan.rate * (now - start) / 1000.0) * trust;
-        (self.window, self.total, self.unsure, self.assumed, self.withdrawn) = (window, 0.0, 0.0, 0.0, 0.0);
-    }
-
-    fn spend(&mut self, units: f64) {
-        self.level -= units;
-        self.unreported += units;
-        self.own = (self.own + units).max(0.0);
-    }
-}
-
 impl Gateway {
     /// Decides on a request that just came: quota, ceiling, room; then sends, calls or refuses.
     fn admit(&mut self, now: f64, id: u64, actions: &mut Vec<Action>) {
@@ -403,27 +316,23 @@
             }
             return self.uncounted(now, id, actions);
         }
-        let (window, into, _) = c.window_at(now);
-        if window != c.window {
-            c.roll(window, now - into, now, self.call_chance);
-        }
+        c.roll(now);
         c.spend(units);
         (held.charge, held.counting) = (units, true);
-        self.call(now, id, customer, actions);
+        self.call(now, id, customer, 0.0, actions);
         let longest = self.settings.counter_timeout_ms;
         let wait = (self.settings.classes[request.class].aim_ms * COUNT_WAIT_PART).min(longest);
         actions.push(Action::Timer { token: id << 2 | COUNT_WAIT, at_ms: now + wait });
     }
 
-    /// Tells the counter what it was not told of a customer in this window.
-    fn call(&mut self, now: f64, id: u64, customer: u64, actions: &mut Vec<Action>) {
+    /// Tells the counter what it was not told of a customer in this window;
+    /// `lost` is refill beyond that.
+    fn call(&mut self, now: f64, id: u64, customer: u64, lost: f64, actions: &mut Vec<Action>) {
         let Some(c) = self.customers.get_mut(customer) else { return };
-        let amount = std::mem::take(&mut c.unreported) - std::mem::take(&mut c.withdrawn);
-        c.calls += 1;
-        let (window, forget_after_ms) = (c.window, c.window_at(now).2 * 2.0);
-        let name = mix(customer ^ mix(window));
-        self.calls.entry(name).or_default().push_back(Call { id, customer, window, amount, made: now });
-        actions.push(Action::Count { name, amount, forget_after_ms });
+        let (charge, window) = (c.tell(lost), c.window);
+        let (name, forget_after_ms) = (mix(customer ^ mix(window)), 2.0 * WINDOW_MS);
+        self.calls.entry(name).or_default().push_back(Call { id, customer, window, charge, lost, made: now });
+        actions.push(Action::Count { name, amount: charge + lost, forget_after_ms });
     }
 
     /// Danger: no total to go by. The store decides alone; what it lets through is charged for the
@@ -459,37 +368,25 @@
         }
         let ok = outcome == Outcome::Ok && total.is_finite();
         self.ease(now, call.made, outcome);
-        let mut covered = true;
+        // The first to be left out while the counter is crowded.
+        let spare = roll(&mut self.rng) < self.call_chance * 2.0 - 1.0;
+        let (mut covered, mut lost) = (true, 0.0);
         if let Some(c) = self.customers.get_mut(call.customer) {
             c.refill(now);
-            c.calls = c.calls.saturating_sub(1);
+            c.answered(&call);
             if !ok {
                 // Danger: an amount that was added, or may have been, told a second time.
-                let told = matches!(outcome, Outcome::Ok | Outcome::Timeout | Outcome::Reset);
-                let told = if told { &mut c.unsure } else { &mut c.unreported };
-                *told += call.amount;
+                c.untold(&call, matches!(outcome, Outcome::Ok | Outcome::Timeout | Outcome::Reset));
             } else if call.window == c.window {
-                // Danger: a counter back empty. A total far below what is known starts afresh; one that falls
-                // by less was lessened as others took refused charges back.
-                if total < c.total.min(c.total + call.amount) * RESTARTED - 0.01 {
-                    (c.total, c.unsure) = (0.0, 0.0);
-                }
-                let others = total - c.total - call.amount - c.unsure;
-                let given = c.plan.rate * (now - c.heard.max(now - c.window_at(now).1)).max(0.0) / 1000.0;
-                c.demand.add((total - c.total).max(0.0), given, c.faded(given));
-                (c.total, c.unsure, c.heard) = (total, 0.0, now);
-                // Refill that was lost at the brim covered first what others spent. What was assumed of
-                // them and they did not spend is given back.
-                let known = others.clamp(0.0, c.assumed);
-                let back = c.assumed - known;
-                c.level = (c.level + back - (others - known - c.spilled).max(0.0)).min(c.plan.burst);
-                (c.assumed, c.others) = (0.0, (c.others + others - known - back).max(0.0));
-                c.spilled = 0.0;
+                lost = c.learn(now, total, &call, spare);
             }
             covered = c.level >= 0.0;
             // The total holds charges that were refused; the store itself can't be so far below nothing.
             c.level = c.level.max(-self.settings.max_units);
         }
+        if lost != 0.0 {
+            self.call(now, NOBODY, call.customer, lost, actions);
+        }
         match self.requests.get_mut(&call.id).filter(|h| h.counting && !h.done) {
             Some(held) if ok => held.counting = false,
             Some(_) => return self.uncounted(now, call.id, actions),
@@ -503,9 +400,9 @@
         // Danger: refused charges that stand in the total empty the stores of all gateways, and their stores
         // then let no call pass that would take them back. Harm: a second call where the quota is spent, so
         // none while the counter is crowded.
-        let here = self.customers.get(call.customer).is_some_and(|c| c.window == c.window_at(now).0);
+        let here = self.customers.get(call.customer).is_some_and(|c| c.in_window(now));
         if here && roll(&mut self.rng) < self.call_chance * 2.0 {
-            self.call(now, call.id, call.customer, actions);
+            self.call(now, call.id, call.customer, 0.0, actions);
         }
     }
 
@@ -553,17 +450,6 @@
     }
 }
 
-impl Kept for Customer {
-    /// A new store is full: what this one lacks may pass again. Danger: a charge that no total holds, and a
-    /// ceiling that is spent; they stay.
-    fn cost(&mut self, now: f64) -> Option<f64> {
-        self.refill(now);
-        let lacks = self.plan.burst - self.level;
-        let untold = self.unreported != 0.0 && lacks > 0.0;
-        (self.open == 0 && self.calls == 0 && !untold && !self.spent()).then_some(lacks.max(0.0))
-    }
-}
-
 impl Backend {
     fn new(entry: &BackendEntry, s: &Settings) -> Self {
         let (started, warm_up) = (entry.started_ms, s.slow_start.warm_up_ms);
--- a/crates/slatelock/src/lib.rs
+++ b/crates/slatelock/src/lib.rs
@@ -9,6 +9,7 @@
 #[cfg(feature = "settings")]
 pub mod settings;
 mod state;
+mod store;
 mod view;
 
 pub use control::Gateway;
--- a/crates/slatelock/src/state.rs
+++ b/crates/slatelock/src/state.rs
@@ -2,7 +2,7 @@
 
 use beechrudder_routing::{Facts, Filed, Listing};
 
-use crate::interface::{BackendEntry, Outcome, Plan, Readiness, Request};
+use crate::interface::{BackendEntry, Outcome, Readiness, Request};
 
 /// A decayed sum of observed over expected.
 #[derive(Clone, Copy, Debug, Default)]
@@ -70,7 +70,9 @@
     pub(crate) id: u64,
     pub(crate) customer: u64,
     pub(crate) window: u64,
-    pub(crate) amount: f64,
+    /// What it tells: charges, and refill that was lost at the brim.
+    pub(crate) charge: f64,
+    pub(crate) lost: f64,
     pub(crate) made: f64,
 }
 
@@ -117,37 +119,6 @@
     }
 }
 
-/// A customer's store as this gateway knows it.
-#[derive(Debug, Default)]
-pub(crate) struct Customer {
-    pub(crate) key: u64,
-    pub(crate) plan: Plan,
-    pub(crate) width: f64,
-    pub(crate) at: f64,
-    pub(crate) level: f64,
-    /// Refill lost at the brim since the last total: others may have spent it.
-    pub(crate) spilled: f64,
-    pub(crate) local: f64,
-    pub(crate) unreported: f64,
-    /// Charges told in this window whose requests were not sent on; taken back within the window alone.
-    pub(crate) withdrawn: f64,
-    pub(crate) window: u64,
-    pub(crate) total: f64,
-    /// When the last total came.
-    pub(crate) heard: f64,
-    /// What all gateways charged, over what the rate gave in that time.
-    pub(crate) demand: Ratio,
-    /// Amounts of calls that may or may not have been added.
-    pub(crate) unsure: f64,
-    /// Charged for others without a total.
-    pub(crate) assumed: f64,
-    pub(crate) own: f64,
-    pub(crate) others: f64,
-    pub(crate) ceiling: f64,
-    pub(crate) open: u32,
-    pub(crate) calls: u32,
-}
-
 /// A backend as this gateway knows it.
 #[derive(Debug, Default)]
 pub(crate) struct Backend {
--- /dev/null
+++ b/crates/slatelock/src/store.rs
@@ -0,0 +1,221 @@
+//! A customer's store that all gateways share through the counter's totals. No I/O, no clock; what is done
+//! with it is decided in `src/control.rs`.
+//!
+//! A total holds, since its window began, what all gateways charged and the refill that was lost as the store
+//! was full. So every gateway reads the same level off it, whatever it saw of the customer before:
+//!
+//! ```text
+//! level = burst + rate x time in the window - total
+//! ```
+//!
+//! A level above the burst is refill that was lost and that no total holds yet. Who sees it adds it, with a
+//! call of its own; until then its own estimate bounds what it reads.
+
+use beechrudder_records::Kept;
+
+use crate::interface::Plan;
+use crate::state::{mix, part, Call, Ratio};
+
+/// Part of an even share of burst and rate that a gateway spends before it calls (the design's tenth).
+pub(crate) const LOCAL_PART: f64 = 0.1;
+/// Fill times of the store in which what was seen of a customer's demand fades.
+pub(crate) const MEMORY_FILLS: f64 = 4.0;
+/// Length of a window, ms; its name is kept for two, and 60 s is the longest a counter keeps one. Danger:
+/// what others spend between a window's last total and its end is seen by nobody. The longer, the less.
+pub(crate) const WINDOW_MS: f64 = 30_000.0;
+/// A total below this part of the last one is that of a counter that began anew.
+const RESTARTED: f64 = 0.5;
+/// Lost refill that is worth a call, units. Harm: up to so much may pass beyond the quota in a spike.
+const LOST_LEAST: f64 = 1.0;
+/// Part of the lost refill that a call added, of which so much was there already, as others added it.
+const TWICE: f64 = 0.8;
+
+/// A customer's store as this gateway knows it.
+#[derive(Debug, Default)]
+pub(crate) struct Customer {
+    pub(crate) key: u64,
+    pub(crate) plan: Plan,
+    pub(crate) width: f64,
+    pub(crate) at: f64,
+    pub(crate) level: f64,
+    /// Refill lost at the brim since the last total: others may have spent it, or told it.
+    pub(crate) spilled: f64,
+    pub(crate) local: f64,
+    pub(crate) unreported: f64,
+    /// Charges told in this window whose requests were not sent on; taken back within the window alone.
+    pub(crate) withdrawn: f64,
+    pub(crate) window: u64,
+    pub(crate) total: f64,
+    /// When the last total came.
+    pub(crate) heard: f64,
+    /// What all gateways charged, over what the rate gave in that time.
+    pub(crate) demand: Ratio,
+    /// Amounts of calls that may or may not have been added.
+    pub(crate) unsure: f64,
+    /// Charged for others without a total.
+    pub(crate) assumed: f64,
+    /// Charges of calls that are out.
+    pub(crate) telling: f64,
+    /// A call that tells of lost refill is out.
+    pub(crate) filling: bool,
+    /// The totals lack lost refill that is known here: they tell of no more than the own estimate has.
+    pub(crate) lacking: bool,
+    pub(crate) own: f64,
+    pub(crate) others: f64,
+    pub(crate) ceiling: f64,
+    pub(crate) open: u32,
+    pub(crate) calls: u32,
+}
+
+impl Customer {
+    pub(crate) fn new(key: u64, plan: Plan, width: f64, now: f64, born: f64) -> Self {
+        let (level, window) = (plan.burst, u64::MAX);
+        // Danger: an earlier life of this gateway may have spent the ceiling; only what has filled
+        // since this life began is surely there.
+        let ceiling = (plan.ceiling_rate * (now - born) / 1000.0).min(plan.ceiling_burst) / width;
+        let (local, heard, spilled) = (level * LOCAL_PART / width, f64::MIN, level);
+        let (at, demand) = (now, Ratio::default());
+        Customer {
+            key,
+            plan,
+            width,
+            at,
+            level,
+            spilled,
+            local,
+            window,
+            heard,
+            demand,
+            ceiling,
+            ..Self::default()
+        }
+    }
+
+    /// Windows since the clock began, those of a customer with a phase of its own.
+    fn windows(&self, now: f64) -> f64 {
+        now / WINDOW_MS + part(mix(self.key))
+    }
+
+    /// Whether the window of the last call still is the present one.
+    pub(crate) fn in_window(&self, now: f64) -> bool {
+        self.window == self.windows(now) as u64
+    }
+
+    /// Goes over to the present window, whose total starts from nothing.
+    pub(crate) fn roll(&mut self, now: f64) {
+        if !self.in_window(now) {
+            (self.window, self.total) = (self.windows(now) as u64, 0.0);
+            (self.unsure, self.assumed, self.withdrawn) = (0.0, 0.0, 0.0);
+        }
+    }
+
+    pub(crate) fn refill(&mut self, now: f64) {
+        let seconds = (now - self.at).max(0.0) / 1000.0;
+        self.at = now;
+        let (plan, even, given) = (&self.plan, 1.0 / self.width, self.plan.rate * seconds);
+        let filled = self.level + given;
+        self.spilled += (filled - plan.burst).max(0.0);
+        self.level = filled.min(plan.burst);
+        self.local = (self.local + given * LOCAL_PART * even).min(plan.burst * LOCAL_PART * even);
+        self.ceiling = (self.ceiling + plan.ceiling_rate * seconds * even).min(plan.ceiling_burst * even);
+        // Danger: charges told long after, as when the counter is back, that refill has made good since.
+        self.unreported = self.unreported.min((plan.burst - self.level).max(0.0));
+        let keep = self.faded(given);
+        (self.own, self.others) = (self.own * keep, self.others * keep);
+    }
+
+    /// Whether some of the ceiling is spent. Danger: a part that rounding never fills, and a record for good.
+    pub(crate) fn spent(&self) -> bool {
+        self.ceiling < self.plan.ceiling_burst / self.width * 0.999_999
+    }
+
+    /// What is left of a memory after the rate gave so many units.
+    fn faded(&self, given: f64) -> f64 {
+        (-given / (self.plan.burst * MEMORY_FILLS).max(f64::MIN_POSITIVE)).exp()
+    }
+
+    /// This gateway's learned share of the customer's use; even until known.
+    pub(crate) fn share(&self, prior: f64) -> f64 {
+        (self.own + prior / self.width) / (self.own + self.others + prior)
+    }
+
+    pub(crate) fn spend(&mut self, units: f64) {
+        self.level -= units;
+        self.unreported += units;
+        self.own = (self.own + units).max(0.0);
+    }
+
+    /// What a call tells of charges, beside this much lost refill.
+    pub(crate) fn tell(&mut self, lost: f64) -> f64 {
+        let charge = std::mem::take(&mut self.unreported) - std::mem::take(&mut self.withdrawn);
+        self.telling += charge;
+        self.calls += 1;
+        // While it is on its way the totals lack it for the others alone.
+        (self.filling, self.lacking) = (self.filling || lost != 0.0, self.lacking && lost == 0.0);
+        charge
+    }
+
+    /// A call has ended, one way or another.
+    pub(crate) fn answered(&mut self, call: &Call) {
+        self.calls = self.calls.saturating_sub(1);
+        self.telling = if self.calls == 0 { 0.0 } else { self.telling - call.charge };
+        self.filling &= call.lost == 0.0;
+    }
+
+    /// A call ended without a total; whether it may have been added.
+    pub(crate) fn untold(&mut self, call: &Call, added: bool) {
+        *if added { &mut self.unsure } else { &mut self.unreported } += call.charge;
+        self.lacking |= call.lost != 0.0;
+    }
+
+    /// Takes in a total of the last call's window, as it stood after a call. Gives the lost refill that is to
+    /// be added to it: 0 for none, below 0 where it was added twice. Where no call is to `spare`, none is.
+    pub(crate) fn learn(&mut self, now: f64, total: f64, call: &Call, spare: bool) -> f64 {
+        let burst = self.plan.burst;
+        // Danger: an answer that comes when its window is over, read by the time in the next.
+        let into = (self.windows(now) - self.window as f64) * WINDOW_MS;
+        // Danger: a counter back empty, and a window that began, know of no debts. The estimate here does.
+        let amount = call.charge + call.lost;
+        let anew = self.total == 0.0 || total < self.total.min(self.total + amount) * RESTARTED - 0.01;
+        let (first, new) = ((total - amount).abs() < 0.01, self.heard == f64::MIN);
+        if !anew {
+            // Others spent at least what refill that was lost here does not explain.
+            let others = (total - self.total - amount - self.unsure - self.spilled).max(0.0);
+            let given = self.plan.rate * (now - self.heard).max(0.0) / 1000.0;
+            self.demand.add(others + call.charge.max(0.0), given, self.faded(given));
+            self.others += others;
+        }
+        let before = (self.level + call.charge + self.assumed).min(burst);
+        let bound = if anew || self.lacking { before } else { burst };
+        let read = burst + self.plan.rate * into / 1000.0 - (total - call.charge);
+        let over = read - bound;
+        // Danger: two gateways that see the same loss at the same time and both add it, which empties the
+        // store. Who finds that others had added most of it takes its own back.
+        let twice = call.lost - (call.lost + over).max(0.0);
+        let again = call.lost > burst && twice > call.lost * TWICE;
+        let known = if again { read + twice } else { read }.min(bound);
+        self.level = known - call.charge - self.telling - (self.unreported - self.withdrawn);
+        (self.total, self.heard) = (total, now);
+        (self.unsure, self.assumed, self.spilled) = (0.0, 0.0, 0.0);
+        // Of a window that begins only the first to call may know all of the loss: others would meet it
+        // halfway. Danger: crowds of customers seen once. The first total of each is worth no second call.
+        let due = spare && !new && !self.filling && (first || !anew) && over >= LOST_LEAST;
+        self.lacking = over >= LOST_LEAST && !due;
+        match () {
+            () if again => -twice,
+            () if due => over,
+            () => 0.0,
+        }
+    }
+}
+
+impl Kept for Customer {
+    /// A new store is full: what this one lacks may pass again. Danger: a charge that no total holds, and a
+    /// ceiling that is spent; they stay.
+    fn cost(&mut self, now: f64) -> Option<f64> {
+        self.refill(now);
+        let lacks = self.plan.burst - self.level;
+        let untold = self.unreported != 0.0 && lacks > 0.0;
+        (self.open == 0 && self.calls == 0 && !untold && !self.spent()).then_some(lacks.max(0.0))
+    }
+}
--- a/crates/slatelock/src/view.rs
+++ b/crates/slatelock/src/view.rs
@@ -4,7 +4,7 @@
 
 use crate::control::Gateway;
 use crate::interface::Readiness;
-use crate::state::Customer;
+use crate::store::Customer;
 
 /// A backend as the gateway knows it.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/slatelock/tests/support/mod.rs
+++ b/crates/slatelock/tests/support/mod.rs
@@ -148,3 +148,37 @@
     };
     actions.iter().filter_map(timer).collect()
 }
+
+/// A shared counter that answers at once.
+#[derive(Default)]
+pub struct Counter {
+    totals: std::collections::BTreeMap<u64, f64>,
+}
+
+impl Counter {
+    pub fn add(&mut self, name: u64, amount: f64) -> f64 {
+        let total = self.totals.entry(name).or_default();
+        *total += amount;
+        *total
+    }
+
+    /// Answers all calls, also those that follow from the answers; gives all that is wanted done.
+    pub fn settle(&mut self, rig: &mut Rig, actions: Vec<Action>) -> Vec<Action> {
+        let mut all = Vec::new();
+        let mut next = std::collections::VecDeque::from(actions);
+        while let Some(action) = next.pop_front() {
+            if let Action::Count { name, amount, .. } = action {
+                let total = self.add(name, amount);
+                next.extend(rig.on(Event::Counted { name, outcome: Outcome::Ok, total }));
+            }
+            all.push(action);
+        }
+        all
+    }
+
+    /// Asks and settles.
+    pub fn ask(&mut self, rig: &mut Rig, request: Request) -> Vec<Action> {
+        let actions = rig.ask(request);
+        self.settle(rig, actions)
+    }
+}
