A counter back empty keeps the charges that were assumed of others

Merged from the logs of four instrumented gateways against a true store: a gateway that has the customer's store at -2 reads 46 of 49 off the first total. Line at fault: `Customer::learn` in crates/slatelock/src/store.rs gave back all that was assumed of others, though the counter was empty and could not tell what they had spent. Now it is given back only where the total goes on from the last.

Ruled out: late telling by others.

--- a/crates/slatelock/src/store.rs
+++ b/crates/slatelock/src/store.rs
@@ -176,7 +176,8 @@
         let into = (self.windows(now) - self.window as f64) * WINDOW_MS;
         // Danger: a counter back empty, and a window that began, know of no debts. The estimate here does.
         let amount = call.charge + call.lost;
-        let anew = self.total == 0.0 || total < self.total.min(self.total + amount) * RESTARTED - 0.01;
+        let empty = total < self.total.min(self.total + amount) * RESTARTED - 0.01;
+        let anew = self.total == 0.0 || empty;
         let (first, new) = ((total - amount).abs() < 0.01, self.heard == f64::MIN);
         if !anew {
             // Others spent at least what refill that was lost here does not explain.
@@ -185,7 +186,9 @@
             self.demand.add(others + call.charge.max(0.0), given, self.faded(given));
             self.others += others;
         }
-        let before = (self.level + call.charge + self.assumed).min(burst);
+        // What was assumed of others meanwhile is given back but where the counter can't tell of it any more.
+        let back = if empty { 0.0 } else { self.assumed };
+        let before = (self.level + call.charge + back).min(burst);
         let bound = if anew || self.lacking { before } else { burst };
         let read = burst + self.plan.rate * into / 1000.0 - (total - call.charge);
         let over = read - bound;
