Untold charges are taken off once; one idle connection makes room, not all

In Customer::learn the own estimate that bounds a total lacked charges on their way and untold ones, which were then taken off again; and a total that came while a debt was being told was not bounded, so it read as a full store for some ms. Backends::way closed all idle connections of all pools, in a walk over the list, when places ran out.

Change: both are part of the bound (store.rs); idle connections have an order, and the one idle for longest is closed alone (backends.rs). Each has a test that fails without it.

--- a/crates/gateway/src/backends.rs
+++ b/crates/gateway/src/backends.rs
@@ -1,6 +1,6 @@
 //! Pools of connections to backends, and exchanges on them: one request at a time on each.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -32,6 +32,8 @@
     /// What the pool counted when it was opened; another count there makes it stale.
     generation: u64,
     idle_since: Instant,
+    /// Its place among all idle connections, in the order in which they fell idle.
+    turn: u64,
     _places: [OwnedSemaphorePermit; 2],
 }
 
@@ -84,7 +86,8 @@
         let stream = timeout(limit, TcpStream::connect(self.address)).await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
         let (generation, idle_since) = (self.generation, Instant::now());
-        Some(Connection { stream, buffer: BytesMut::new(), generation, idle_since, _places: self.places })
+        let (buffer, turn) = (BytesMut::new(), 0);
+        Some(Connection { stream, buffer, generation, idle_since, turn, _places: self.places })
     }
 }
 
@@ -95,7 +98,8 @@
     started: f64,
     address: SocketAddr,
     generation: u64,
-    idle: Vec<Connection>,
+    /// Those that fell idle last stand last.
+    idle: VecDeque<Connection>,
     places: Arc<Semaphore>,
 }
 
@@ -107,6 +111,9 @@
     at: HashMap<SocketAddr, Vec<u32>>,
     /// Counts what makes connections stale.
     generations: u64,
+    /// The backend of each idle connection, in the order in which they fell idle.
+    turns: BTreeMap<u64, u32>,
+    last_turn: u64,
     places: Arc<Semaphore>,
     idle_most: Duration,
     /// A connection that is not up by then has failed.
@@ -121,6 +128,8 @@
             pools: HashMap::new(),
             at: HashMap::new(),
             generations: 0,
+            turns: BTreeMap::new(),
+            last_turn: 0,
             places: Arc::new(Semaphore::new(connections)),
             idle_most,
             connect_limit,
@@ -151,7 +160,7 @@
         self.generations += 1;
         let places =
             old.map_or_else(|| Arc::new(Semaphore::new(CONNECTIONS_MOST)), |p| Arc::clone(&p.places));
-        let (generation, idle) = (self.generations, Vec::new());
+        let (generation, idle) = (self.generations, VecDeque::new());
         self.remove(entry.id);
         self.pools.insert(entry.id, Pool { ready, started, address, generation, idle, places });
         self.at.entry(address).or_default().push(entry.id);
@@ -160,6 +169,9 @@
 
     fn remove(&mut self, id: u32) {
         let Some(pool) = self.pools.remove(&id) else { return };
+        for connection in &pool.idle {
+            self.turns.remove(&connection.turn);
+        }
         if let Some(at) = self.at.get_mut(&pool.address) {
             at.retain(|other| *other != id);
             if at.is_empty() {
@@ -170,7 +182,7 @@
 
     /// Connections on which nothing is in flight.
     pub fn idle(&self) -> usize {
-        self.pools.values().map(|p| p.idle.len()).sum()
+        self.turns.len()
     }
 
     pub fn known(&self, backend: u32) -> bool {
@@ -188,14 +200,14 @@
         let Some(pool) = self.pools.get_mut(&backend).filter(|p| p.ready) else {
             return Way::Closed;
         };
-        while let Some(connection) = pool.idle.pop() {
+        while let Some(connection) = pool.idle.pop_back() {
+            self.turns.remove(&connection.turn);
             if connection.usable(now, self.idle_most) {
                 return Way::Open(connection);
             }
         }
-        // Danger: idle connections elsewhere that hold all the places.
         if self.places.available_permits() == 0 {
-            self.pools.values_mut().for_each(|p| p.idle.clear());
+            self.close_longest_idle();
         }
         let pool = &self.pools[&backend];
         let place = |of: &Arc<Semaphore>| Arc::clone(of).try_acquire_owned().ok();
@@ -208,6 +220,17 @@
         }
     }
 
+    /// Danger: idle connections elsewhere that hold all the places. One makes room for one: to close them all
+    /// would have the requests that follow open them anew, and walk all pools.
+    fn close_longest_idle(&mut self) {
+        let Some((turn, backend)) = self.turns.pop_first() else { return };
+        if let Some(pool) = self.pools.get_mut(&backend) {
+            // Of its pool it has been idle for longest as well.
+            let first = pool.idle.pop_front();
+            debug_assert!(first.is_some_and(|c| c.turn == turn));
+        }
+    }
+
     /// The pool of a connection to which a request may still be written.
     fn pool_of(&mut self, backend: u32, connection: &Connection) -> Option<&mut Pool> {
         let pool = self.pools.get_mut(&backend);
@@ -220,17 +243,28 @@
     }
 
     /// Takes back a connection for further requests, or closes it.
-    pub fn put_back(&mut self, backend: u32, connection: Connection) {
-        let (now, most) = (Instant::now(), self.idle_most);
+    pub fn put_back(&mut self, backend: u32, mut connection: Connection) {
+        let (now, most, turn) = (Instant::now(), self.idle_most, self.last_turn + 1);
         if let Some(pool) = self.pool_of(backend, &connection).filter(|_| connection.usable(now, most)) {
-            pool.idle.push(connection);
+            connection.turn = turn;
+            pool.idle.push_back(connection);
+            self.turns.insert(turn, backend);
+            self.last_turn = turn;
         }
     }
 
     /// Closes what has stood idle for too long or was closed by the backend.
     pub fn close_idle(&mut self, now: Instant) {
-        let most = self.idle_most;
-        self.pools.values_mut().for_each(|p| p.idle.retain(|c| c.usable(now, most)));
+        let (most, turns) = (self.idle_most, &mut self.turns);
+        for pool in self.pools.values_mut() {
+            pool.idle.retain(|c| {
+                let usable = c.usable(now, most);
+                if !usable {
+                    turns.remove(&c.turn);
+                }
+                usable
+            });
+        }
     }
 }
 
@@ -366,6 +400,54 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use tokio::net::TcpListener;
+
+    #[tokio::test]
+    async fn when_places_run_out_the_connection_idle_for_longest_is_closed_and_no_other() {
+        let limit = Duration::from_secs(20);
+        let mut backends = Backends::new(3, 60_000.0, limit);
+        let mut listeners = Vec::new();
+        for id in 1..=3 {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("an address");
+            let address = listener.local_addr().expect("bound");
+            backends.update(&BackendEntry { id, ..BackendEntry::default() }, address);
+            listeners.push(listener);
+        }
+        let mut open = Vec::new();
+        for id in [2, 1, 2] {
+            let Way::New(dial) = backends.way(id, Instant::now()) else { panic!("a new one is wanted") };
+            open.push((id, dial.open(limit).await.expect("it listens")));
+        }
+        open.into_iter().for_each(|(id, connection)| backends.put_back(id, connection));
+        assert_eq!(backends.idle(), 3);
+        let way = backends.way(3, Instant::now());
+        assert!(matches!(way, Way::New(_)), "{way:?}");
+        assert_eq!(backends.idle(), 2);
+        // That of 2 which fell idle first is closed; of each one is left.
+        let (first, second) = (backends.way(1, Instant::now()), backends.way(2, Instant::now()));
+        assert!(matches!((&first, &second), (Way::Open(_), Way::Open(_))), "{first:?} {second:?}");
+        assert_eq!(backends.idle(), 0);
+        // Nothing is idle, and all places are taken.
+        let none = backends.way(3, Instant::now());
+        assert!(matches!(none, Way::Full), "{none:?}");
+    }
+
+    #[tokio::test]
+    async fn idle_connections_of_a_backend_that_is_gone_are_not_counted_and_hold_no_places() {
+        let limit = Duration::from_secs(20);
+        let mut backends = Backends::new(1, 60_000.0, limit);
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("an address");
+        let address = listener.local_addr().expect("bound");
+        let entry = |id, state| BackendEntry { id, state, ..BackendEntry::default() };
+        backends.update(&entry(1, Readiness::Ready), address);
+        let Way::New(dial) = backends.way(1, Instant::now()) else { panic!("a new one is wanted") };
+        let connection = dial.open(limit).await.expect("it listens");
+        backends.put_back(1, connection);
+        backends.update(&entry(1, Readiness::Gone), address);
+        assert_eq!(backends.idle(), 0);
+        backends.update(&entry(2, Readiness::Ready), address);
+        assert!(matches!(backends.way(2, Instant::now()), Way::New(_)));
+    }
 
     #[test]
     fn use_is_told_in_percent_of_the_rate_and_nothing_is_told_of_what_is_missing() {
--- a/crates/slatelock/src/store.rs
+++ b/crates/slatelock/src/store.rs
@@ -56,7 +56,7 @@
     pub(crate) assumed: f64,
     /// Charges of calls that are out.
     pub(crate) telling: f64,
-    /// A call that tells of lost refill is out.
+    /// A call that tells of lost refill is out; until it is answered totals may lack it.
     pub(crate) filling: bool,
     /// The totals lack lost refill that is known here: they tell of no more than the own estimate has.
     pub(crate) lacking: bool,
@@ -150,7 +150,6 @@
         let charge = std::mem::take(&mut self.unreported) - std::mem::take(&mut self.withdrawn);
         self.telling += charge;
         self.calls += 1;
-        // While it is on its way the totals lack it for the others alone.
         (self.filling, self.lacking) = (self.filling || lost != 0.0, self.lacking && lost == 0.0);
         charge
     }
@@ -188,8 +187,10 @@
         }
         // What was assumed of others meanwhile is given back but where the counter can't tell of it any more.
         let back = if empty { 0.0 } else { self.assumed };
-        let before = (self.level + call.charge + back).min(burst);
-        let bound = if anew || self.lacking { before } else { burst };
+        // Danger: charges that the total does not hold yet, taken off twice.
+        let untold = self.telling + self.unreported - self.withdrawn;
+        let before = (self.level + call.charge + untold + back).min(burst);
+        let bound = if anew || self.lacking || self.filling { before } else { burst };
         let read = burst + self.plan.rate * into / 1000.0 - (total - call.charge);
         let over = read - bound;
         // Danger: two gateways that see the same loss at the same time and both add it, which empties the
@@ -197,7 +198,7 @@
         let twice = call.lost - (call.lost + over).max(0.0);
         let again = call.lost > burst && twice > call.lost * TWICE;
         let known = if again { read + twice } else { read }.min(bound);
-        self.level = known - call.charge - self.telling - (self.unreported - self.withdrawn);
+        self.level = known - call.charge - untold;
         (self.total, self.heard) = (total, now);
         (self.unsure, self.assumed, self.spilled) = (0.0, 0.0, 0.0);
         // Of a window that begins only the first to call may know all of the loss: others would meet it
--- a/crates/slatelock/tests/quota.rs
+++ b/crates/slatelock/tests/quota.rs
@@ -302,6 +302,26 @@
     assert!(refused(&counter.ask(&mut other, request(20, 0, 0, 4.0))));
 }
 
+/// Danger: debts on their way to a counter that is back empty; a total that lacks them, read as a full store.
+#[test]
+fn a_total_that_comes_before_a_debt_is_told_opens_nothing() {
+    let (mut rig, mut counter) = (Rig::new(with_counter(), 4), Counter::default());
+    let passed = (1..7).filter(|id| sent_to(&counter.ask(&mut rig, request(*id, 0, 0, 2.0))).is_some());
+    assert_eq!(passed.count(), 6);
+    // The counter is empty now. Four units are left, and both calls out at once.
+    let calls = [10, 11].map(|id| counted(&rig.ask(request(id, 0, 0, 2.0))).expect("a call"));
+    let mut total = 0.0;
+    let told = calls.map(|(name, amount)| {
+        total += amount;
+        let actions = rig.on(Event::Counted { name, outcome: Outcome::Ok, total });
+        assert!(sent_to(&actions).is_some());
+        counted(&actions).map_or(0.0, |(_, lost)| lost)
+    });
+    assert!(told[0] >= 12.0 && told[1] == 0.0, "{told:?}: the debt, and once");
+    let actions = rig.ask(request(12, 0, 0, 2.0));
+    assert!(refused(&actions) && counted(&actions).is_none(), "{actions:?}");
+}
+
 #[test]
 fn a_cap_on_open_attempts_is_held_without_a_rate() {
     let mut s = settings();
