--- a/crates/routing/src/index.rs
+++ b/crates/routing/src/index.rs
@@ -104,7 +104,7 @@
     reach: Reach,
     /// Time in which the push fades to 1/e, ms.
     window: f64,
-    /// Each by itself. Danger: a list that grows past its room takes it twice over, and half of it for nothing.
+    /// Each by itself. Danger: a list that grows past its room takes it twice over, half of it for nothing.
     slots: Vec<Option<Box<Slot<T>>>>,
     free: Vec<u32>,
     numbers: HashMap<u32, u32>,
