--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -6,6 +6,7 @@
 //!                                         ▼ watch: Published
 //!                       link.rs, one for each gateway ── adopt, apply, state ──▶ admin listener
 //!                                         └─ Report ─▶ owner.rs
+//!  gateways ◀─ GET /discovery/hosts ─ listing.rs ◀─ resolvers
 //! ```
 //!
 //! An order is acknowledged once it is on the disk, and only then published to the links. An agent that is
@@ -15,18 +16,20 @@
 
 mod book;
 mod link;
+mod listing;
 mod log;
 mod owner;
 mod tools;
 mod views;
 
 use std::fmt;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use beechrudder_channel::{BindError, Dialer, Listener, TlsError};
 use beechrudder_fleet::wire::TOOL_LINE_MOST;
 use beechrudder_fleet::{BadName, Name};
-use beechrudder_operator::{Agent, Gateway};
+use beechrudder_operator::{Agent, Gateway, Sources};
 use tokio::sync::{broadcast, mpsc, watch, Semaphore};
 
 use tools::Scope;
@@ -47,6 +50,8 @@
     Bind(BindError),
     /// Its certificates can't be used.
     Tls(TlsError),
+    /// The list can't be served: the socket, or a service.
+    Sources(String),
     /// A gateway in the operator's file has a name that can't be one.
     Name(BadName),
 }
@@ -57,6 +62,7 @@
             AgentError::Log(e) => e.fmt(f),
             AgentError::Bind(e) => e.fmt(f),
             AgentError::Tls(e) => e.fmt(f),
+            AgentError::Sources(e) => write!(f, "sources: {e}"),
             AgentError::Name(e) => write!(f, "gateway: {e}"),
         }
     }
@@ -64,7 +70,8 @@
 
 impl std::error::Error for AgentError {}
 
-/// Oversees gateways until `end` is over.
+/// Oversees gateways until `end` is over, and serves them the list of `sources`, if there are any. `ready` is
+/// told where.
 ///
 /// Cancelling ends it as a kill would: nothing that was acknowledged is lost.
 ///
@@ -73,7 +80,8 @@
 pub async fn run(
     config: &Agent,
     gateways: &[Gateway],
-    ready: impl FnOnce(),
+    sources: Option<&Sources>,
+    ready: impl FnOnce(Option<SocketAddr>),
     end: impl std::future::Future<Output = ()>,
 ) -> Result<(), AgentError> {
     let dialer = Dialer::new(config.tls.as_ref()).map_err(AgentError::Tls)?;
@@ -102,14 +110,20 @@
         published: receiver,
         reports,
     };
+    let listing = match sources {
+        Some(sources) => Some(listing::Listing::start(sources, &events).await.map_err(AgentError::Sources)?),
+        None => None,
+    };
+    let list = listing.as_ref().map(|listing| listing.address);
     let owner =
         owner::Owner::new(log, contents, fixed, config.least_ready, published, shared, events.clone());
+    let owner = owner.with_list(listing);
     let registering = registers.map(|listener| {
         let (inbox, events) = (inbox.clone(), events.clone());
         tokio::spawn(tools::serve(listener, Scope::Register, inbox, events))
     });
     let tools = tokio::spawn(tools::serve(listener, Scope::All, inbox, events));
-    ready();
+    ready(list);
     let result = tokio::select! {
         result = owner.run(inputs, told) => result.map_err(AgentError::Log),
         () = end => Ok(()),
--- /dev/null
+++ b/crates/agent/src/listing.rs
@@ -0,0 +1,77 @@
+//! The server list that gateways take from the agent: its source, its listener, and what is told of it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use beechrudder_dnssd::{Bounds, Name};
+use beechrudder_fleet::wire::ListState;
+use beechrudder_operator::Sources;
+use beechrudder_sources::{follow, serve, Ask, Resolver, Settings, Table};
+use tokio::net::TcpListener;
+use tokio::sync::{broadcast, mpsc, oneshot, watch};
+use tokio::task::JoinHandle;
+
+/// Questions of tools that may wait.
+const ASKS_MOST: usize = 16;
+
+/// A list that is followed and served. It ends with the value.
+#[derive(Debug)]
+pub struct Listing {
+    /// Where gateways read it.
+    pub address: SocketAddr,
+    asks: mpsc::Sender<Ask>,
+    tasks: [JoinHandle<()>; 2],
+}
+
+impl Listing {
+    /// Begins to follow the services, and to serve what is known of them.
+    pub async fn start(config: &Sources, events: &broadcast::Sender<String>) -> Result<Listing, String> {
+        let name = |s: &String| Name::from_ascii(s).map_err(|e| format!("{s}: {e}"));
+        let services = config.services.iter().map(name).collect::<Result<Vec<_>, _>>()?;
+        let ms = |s: u32| f64::from(s) * 1_000.0;
+        let (life_least, life_most) = (ms(config.ttl_least_s), ms(config.ttl_most_s));
+        let plain = Bounds::default();
+        let bounds = Bounds {
+            life_least,
+            life_most,
+            none_most: plain.none_most.clamp(life_least, life_most),
+            stale_most: ms(config.stale_most_s),
+            out_most: config.questions,
+            ..plain
+        };
+        let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let seed = started.as_nanos() as u64 ^ u64::from(std::process::id());
+        let settings = Settings { services, bounds, shrink_most: config.shrink_most, seed };
+        let resolver = Resolver::new(config.resolvers.clone(), Duration::from_millis(config.answer_ms));
+        let failed = |e: std::io::Error| format!("{}: {e}", config.listen);
+        let listener = TcpListener::bind(config.listen).await.map_err(failed)?;
+        let address = listener.local_addr().map_err(failed)?;
+        // Versions go on where an earlier life of the agent can't have come to.
+        let (table, tables) = watch::channel(Arc::new(Table::new(started.as_millis() as u64)));
+        let (asks, asked) = mpsc::channel(ASKS_MOST);
+        let events = events.clone();
+        let say = move |line: String| {
+            let line = format!("list: {line}");
+            eprintln!("beechrudder-agent: {line}");
+            // Fails only where nobody watches.
+            let _ = events.send(line);
+        };
+        let following = tokio::spawn(follow(settings, resolver, table, asked, say));
+        let tasks = [following, tokio::spawn(serve(listener, tables))];
+        Ok(Listing { address, asks, tasks })
+    }
+
+    /// Asks how the list stands. The answer comes at once, but for a reading that is under way; none, if too
+    /// many ask already.
+    pub fn ask(&self, records: bool) -> Option<oneshot::Receiver<ListState>> {
+        let (answer, told) = oneshot::channel();
+        self.asks.try_send(Ask { records, answer }).ok().map(|()| told)
+    }
+}
+
+impl Drop for Listing {
+    fn drop(&mut self) {
+        self.tasks.iter().for_each(JoinHandle::abort);
+    }
+}
--- a/crates/agent/src/owner.rs
+++ b/crates/agent/src/owner.rs
@@ -17,6 +17,7 @@
 
 use crate::book::{self, Book, Verdict, Wish};
 use crate::link::{self, Published, Query, Report, Said, Shared};
+use crate::listing::Listing;
 use crate::log::{Contents, Log, LogError};
 use crate::views::Views;
 
@@ -71,6 +72,7 @@
     published: watch::Sender<Published>,
     shared: Shared,
     events: broadcast::Sender<String>,
+    listing: Option<Listing>,
     begun: Instant,
 }
 
@@ -98,6 +100,7 @@
             published,
             shared,
             events,
+            listing: None,
             begun: Instant::now(),
         };
         owner.publish();
@@ -114,6 +117,12 @@
         owner
     }
 
+    /// Has a list to tell of.
+    pub fn with_list(mut self, listing: Option<Listing>) -> Owner {
+        self.listing = listing;
+        self
+    }
+
     fn oversee(&mut self, name: &str, address: Address, fixed: bool) {
         let name: Arc<str> = name.into();
         let (queries, queue) = mpsc::channel(QUERIES_MOST);
@@ -343,6 +352,7 @@
                 let asked = self.query(&GatewayAsk::Inflight { subject });
                 tokio::spawn(counted(asked, Duration::from_millis(deadline_ms.min(60_000)), say));
             }
+            Ask::Sources { records } => self.sources(records, &say),
             Ask::Register { name, address } => self.register(name, &address, &say)?,
             Ask::Deregister { name } => self.deregister(&name, &say)?,
             Ask::Order { .. } | Ask::Watch => {
@@ -352,6 +362,22 @@
         Ok(())
     }
 
+    /// Tells how the list stands, once whoever follows it has said so.
+    fn sources(&self, records: bool, say: &mpsc::Sender<Say>) {
+        let Some(listing) = &self.listing else {
+            let message = "the operator's file of the agent has no [sources]";
+            return tell(say, Say::Fault(Fault::new(Code::BadRequest, message)));
+        };
+        let Some(told) = listing.ask(records) else {
+            return tell(say, Say::Fault(Fault::new(Code::Unavailable, "too many ask; try again")));
+        };
+        let say = say.clone();
+        tokio::spawn(async move {
+            let fault = || Say::Fault(Fault::new(Code::Unavailable, "the list is not followed any more"));
+            tell(&say, told.await.map_or_else(|_| fault(), |state| Say::Sources(Box::new(state))));
+        });
+    }
+
     /// Has every gateway asked something.
     fn query(&self, ask: &GatewayAsk) -> Vec<Asking> {
         let one = |(name, gateway): (&Arc<str>, &Gateway)| {
--- /dev/null
+++ b/crates/beechrudder/examples/measure_dns_sd.rs
@@ -0,0 +1,109 @@
+//! Measures an agent that takes its list from DNS-SD: time to the first list, questions a minute, CPU and
+//! memory, and the time from a record's change to the list that has it:
+//! `cargo run --release --example measure_dns_sd [INSTANCES ...]`, after `cargo build --release`.
+//!
+//! The resolver is the testbed's, in this process; the agent is a process of its own. An answer holds some
+//! 2,500 instances, so there is a service for each 2,000.
+
+mod process;
+
+use std::fs;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::process::Command;
+use std::time::{Duration, Instant};
+
+use beechrudder_testbed::dns::{Dns, Instance};
+use process::{cpu_us, memory_mb, program, start, Any};
+use serde_json::Value;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+const EACH: usize = 2_000;
+const SETTLED: Duration = Duration::from_secs(20);
+const CHANGES: usize = 15;
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Asks for the list; none while it is not served.
+async fn get(address: SocketAddr, path: &str) -> Result<Option<Value>, Any> {
+    let mut stream = TcpStream::connect(address).await?;
+    let request = format!("GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    stream.write_all(request.as_bytes()).await?;
+    let mut text = String::new();
+    timeout(PATIENCE, stream.read_to_string(&mut text)).await??;
+    let good = text.starts_with("HTTP/1.1 200");
+    let body = text.split_once("\r\n\r\n").map_or("", |(_, body)| body);
+    Ok(if good { Some(serde_json::from_str(body)?) } else { None })
+}
+
+fn instance(label: String, port: u16) -> Instance {
+    let text = vec!["zone=room".to_string(), "type=m".to_string(), "group=1".to_string()];
+    Instance { label, service: (0, 10, port), text, address: Ipv4Addr::LOCALHOST }
+}
+
+async fn measure(instances: usize, ttl_s: u32) -> Result<(), Any> {
+    let (dir, dns) = (tempfile::tempdir()?, Dns::start(ttl_s, 1).await?);
+    let service = |i: usize| format!("_till._tcp.room-{}.test", i / EACH);
+    (0..instances).for_each(|i| dns.put(&service(i), &instance(format!("till-{i}"), 9_000)));
+    let services: Vec<String> =
+        (0..instances.div_ceil(EACH)).map(|s| format!("{:?}", service(s * EACH))).collect();
+    let at = dir.path().display();
+    let text = format!(
+        "[agent]\nlisten = \"unix:{at}/a.sock\"\nlog = \"{at}/log\"\n[sources]\nlisten = \"127.0.0.1:0\"\n\
+         services = [{}]\nresolvers = [\"{}\"]\n",
+        services.join(", "),
+        dns.address
+    );
+    let file = dir.path().join("operator.toml");
+    fs::write(&file, text)?;
+    let mut command = Command::new(program()?);
+    command.arg("agent").arg("--operator").arg(&file);
+    let begun = Instant::now();
+    let (process, address) = start(command, "serving the list on ").await?;
+    let (pid, address) = (process.0.id(), address.parse()?);
+    let mut list = None;
+    while list.is_none() {
+        sleep(Duration::from_millis(20)).await;
+        list = get(address, "/discovery/hosts").await?;
+    }
+    let (first, list) = (begun.elapsed(), list.unwrap_or_default());
+    let listed = list["endpoints"].as_array().map_or(0, Vec::len);
+    let (cpu_first, memory) = (cpu_us(pid)?, memory_mb(pid)?);
+    let (asked, then) = (dns.asked().0, Instant::now());
+    sleep(SETTLED).await;
+    let minute = (dns.asked().0 - asked) as f64 * 60.0 / then.elapsed().as_secs_f64();
+    let cpu = (cpu_us(pid)? - cpu_first) / then.elapsed().as_secs_f64() / 10_000.0;
+    let mut delays = Vec::new();
+    for change in 0..CHANGES {
+        let index =
+            get(address, "/discovery/hosts").await?.unwrap_or_default()["index"].as_u64().unwrap_or(0);
+        let (label, changed) = (format!("new-{change}"), Instant::now());
+        dns.put(&service(0), &instance(label, 9_001));
+        get(address, &format!("/discovery/hosts?after={index}&wait_ms=60000")).await?;
+        delays.push(changed.elapsed().as_secs_f64() * 1_000.0);
+    }
+    delays.sort_by(f64::total_cmp);
+    println!(
+        "{instances} instances, TTL {ttl_s} s: {listed} listed after {:.2} s ({:.2} s of CPU); {minute:.0} \
+         questions a minute, {cpu:.1} of 100 of a core; {memory:.0} MB then, {:.0} MB at the most; \
+         a change is served after {:.0} ms in the middle, {:.0} ms at the longest",
+        first.as_secs_f64(),
+        cpu_first / 1e6,
+        memory_mb(pid)?,
+        delays[delays.len() / 2],
+        delays[delays.len() - 1],
+    );
+    Ok(())
+}
+
+#[tokio::main(flavor = "multi_thread", worker_threads = 2)]
+async fn main() -> Result<(), Any> {
+    let mut all = std::env::args().skip(1).map(|w| w.parse()).collect::<Result<Vec<usize>, _>>()?;
+    if all.is_empty() {
+        all = vec![100, 1_000, 10_000];
+    }
+    for instances in all {
+        measure(instances, 10).await?;
+    }
+    Ok(())
+}
--- a/crates/beechrudder/examples/measure_gateway.rs
+++ b/crates/beechrudder/examples/measure_gateway.rs
@@ -9,11 +9,12 @@
 //! With `flood` in place of lengths: the memory of a gateway under a flood of customers that come once each,
 //! with the room that 32 MB leave for their records and with room without end.
 
-use std::error::Error;
+mod process;
+
 use std::fs;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::path::Path;
+use std::process::Command;
 use std::time::{Duration, Instant};
 
 use beechrudder_testbed::backend::{Backend, Spec};
@@ -22,11 +23,9 @@
 use beechrudder_testbed::discovery::Discovery;
 use beechrudder_testbed::journal::{Answer, Journal};
 use beechrudder_testbed::platform;
-use tokio::io::{AsyncBufReadExt, BufReader};
+use process::{cpu_us, memory_mb, program, start, Any, Process};
 use tokio::net::{TcpListener, TcpStream};
 
-type Any = Box<dyn Error + Send + Sync>;
-
 const CLIENTS: usize = 32;
 const ROUNDS: usize = 5;
 const ROUND: Duration = Duration::from_secs(3);
@@ -34,41 +33,6 @@
 /// Gateways that there are said to be: one of a large fleet keeps to its part of the backends.
 const FLEETS: [usize; 2] = [60, 1];
 
-struct Process(Child);
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
-/// Starts a process; gives what follows `begin` on the first line that it says.
-async fn start(mut command: Command, begin: &str) -> Result<(Process, String), Any> {
-    let mut child = command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::null()).spawn()?;
-    let said = child.stdout.take().ok_or("no output")?;
-    let process = Process(child);
-    let mut lines = BufReader::new(tokio::process::ChildStdout::from_std(said)?).lines();
-    let line = lines.next_line().await?.ok_or("it ended")?;
-    Ok((process, line.strip_prefix(begin).ok_or("it said something else")?.to_string()))
-}
-
-/// CPU that a process has taken, us.
-fn cpu_us(pid: u32) -> Result<f64, Any> {
-    let mut sum = 0.0;
-    for task in fs::read_dir(format!("/proc/{pid}/task"))? {
-        let text = fs::read_to_string(task?.path().join("schedstat"))?;
-        sum += text.split(' ').next().ok_or("no time")?.parse::<f64>()? / 1000.0;
-    }
-    Ok(sum)
-}
-
-fn memory_mb(pid: u32) -> Result<f64, Any> {
-    let text = fs::read_to_string(format!("/proc/{pid}/status"))?;
-    let line = text.lines().find_map(|l| l.strip_prefix("VmHWM:")).ok_or("no such line")?;
-    Ok(line.trim().trim_end_matches("kB").trim().parse::<f64>()? / 1024.0)
-}
-
 /// Forwards each connection to a backend, until the process ends.
 async fn forward(to: SocketAddr) -> Result<(), Any> {
     let listener = TcpListener::bind("127.0.0.1:0").await?;
@@ -105,12 +69,6 @@
     Ok(Front { name, process, address: address.parse()?, _around: Some((discovery, counter)) })
 }
 
-/// The built program, beside the folder that this example is in.
-fn program() -> Result<PathBuf, Any> {
-    let here = std::env::current_exe()?;
-    Ok(here.parent().and_then(Path::parent).ok_or("no folder")?.join("beechrudder"))
-}
-
 struct Front {
     name: String,
     process: Process,
--- a/crates/beechrudder/src/cli.rs
+++ b/crates/beechrudder/src/cli.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use beechrudder_dnssd::Name as DnsName;
 use beechrudder_fleet::{Name, OrderId, Subject};
 use beechrudder_operator::Address;
 use clap::{Args, Parser, Subcommand, ValueEnum};
@@ -57,6 +58,14 @@
     },
     /// Show every change from now on, until Ctrl-C
     Watch,
+    /// Show the server list that the agent makes from its sources, and what is wrong with it
+    Sources {
+        /// Each record as well, with what is left of its life
+        #[arg(long)]
+        records: bool,
+    },
+    /// Ask for a service by DNS-SD as the agent would, and explain the list that it comes to
+    Resolve(Resolve),
     /// Say which gateways the agent oversees
     Gateways {
         #[command(subcommand)]
@@ -108,6 +117,25 @@
     pub seed: u64,
 }
 
+#[derive(Debug, Args)]
+pub struct Resolve {
+    /// The service, as in _till._tcp.ub-room.example.org
+    #[arg(required = true, value_parser = service)]
+    pub services: Vec<DnsName>,
+    /// A resolver, ADDRESS:PORT; more than one may be named, and each is asked where those before it fail
+    #[arg(long = "server", required = true, value_name = "ADDRESS:PORT")]
+    pub servers: Vec<std::net::SocketAddr>,
+    /// How long each resolver may take for a question
+    #[arg(long, value_name = "TIME", default_value = "1s", value_parser = time)]
+    pub each: Duration,
+    /// How long to go on
+    #[arg(long, value_name = "TIME", default_value = "15s", value_parser = time)]
+    pub deadline: Duration,
+    /// Each record as well, with what is left of its life
+    #[arg(long)]
+    pub records: bool,
+}
+
 #[derive(Debug, Args)]
 pub struct Status {
     /// Each backend as well, by gateway
@@ -187,6 +215,14 @@
     }
 }
 
+fn service(text: &str) -> Result<DnsName, String> {
+    let name = DnsName::from_ascii(text).map_err(|e| e.to_string())?;
+    if name.num_labels() < 3 || !text.starts_with('_') {
+        return Err("a service is wanted, as in _till._tcp.ub-room.example.org".to_string());
+    }
+    Ok(name)
+}
+
 fn rate(text: &str) -> Result<f64, String> {
     let rate = text.parse::<f64>().ok().filter(|r| (0.0..=20_000.0).contains(r));
     rate.ok_or_else(|| "0 to 20000 requests a second are wanted".to_string())
--- a/crates/beechrudder/src/main.rs
+++ b/crates/beechrudder/src/main.rs
@@ -4,7 +4,9 @@
 //!  cli.rs      what can be written on it
 //!  orders.rs   drain, undrain, weight        ┐
 //!  look.rs     status, orders, watch         ├─ agent.rs ── the agent's socket
-//!  members.rs  gateways                      ┘
+//!  members.rs  gateways                      │
+//!  resolve.rs  sources                       ┘
+//!              resolve ──────────────────────── resolvers, by beechrudder-sources
 //!  check/      check FILE
 //!  up/         stand-ins, gateways and an agent on this machine
 //! ```
@@ -16,6 +18,7 @@
 mod look;
 mod members;
 mod orders;
+mod resolve;
 mod table;
 mod up;
 
@@ -42,6 +45,8 @@
         Command::Weight(args) => wait(orders::weight(&agent, &args, output)),
         Command::Orders { most } => wait(look::orders(&agent, most, output)),
         Command::Watch => wait(look::watch(&agent, output)),
+        Command::Sources { records } => wait(resolve::sources(&agent, records, output)),
+        Command::Resolve(args) => wait(resolve::run(&args, output)),
         Command::Gateways { command } => wait(members::run(&agent, &command, output)),
         Command::Agent { operator, until_closed } => wait(up::agent::run(&operator, until_closed)),
         Command::Gateway { operator, until_closed } => {
--- a/crates/beechrudder/src/up/agent.rs
+++ b/crates/beechrudder/src/up/agent.rs
@@ -23,7 +23,11 @@
             _ = terminate.recv() => {}
         }
     };
-    let ready = || println!("overseeing {} gateways on {}", operator.gateways.len(), agent.listen);
-    let result = beechrudder_agent::run(&agent, &operator.gateways, ready, end).await;
+    let ready = |list: Option<std::net::SocketAddr>| {
+        println!("overseeing {} gateways on {}", operator.gateways.len(), agent.listen);
+        list.into_iter().for_each(|address| println!("serving the list on {address}"));
+    };
+    let sources = operator.sources.as_ref();
+    let result = beechrudder_agent::run(&agent, &operator.gateways, sources, ready, end).await;
     result.map_err(|e| Failure::Broken(e.to_string()))
 }
--- a/crates/beechrudder/tests/support/mod.rs
+++ b/crates/beechrudder/tests/support/mod.rs
@@ -155,6 +155,8 @@
     pub agent: Option<Process>,
     pub runtime: Runtime,
     pub dir: TempDir,
+    /// Where the agent serves a list, if its settings have sources.
+    pub list: Option<SocketAddr>,
     operator: PathBuf,
 }
 
@@ -200,6 +202,7 @@
             agent,
             runtime,
             dir,
+            list: None,
             operator,
         };
         for me in 0..gateways {
@@ -251,7 +254,11 @@
     pub fn start_agent(&mut self) {
         let operator = self.operator.display().to_string();
         let log = self.path("agent.log");
-        let (process, _) = Process::start(&["agent", "--operator", &operator], None, &log, &["overseeing "]);
+        let sources = fs::read_to_string(&self.operator).expect("there").contains("[sources]");
+        let begin: &[&str] =
+            if sources { &["overseeing ", "serving the list on "] } else { &["overseeing "] };
+        let (process, said) = Process::start(&["agent", "--operator", &operator], None, &log, begin);
+        self.list = said.get(1).map(|address| address.parse().expect("an address"));
         self.agent = Some(process);
     }
 
@@ -263,6 +270,25 @@
         ended(command)
     }
 
+    /// Has all gateways go over to another discovery while they run.
+    pub fn discover(&self, discovery: SocketAddr) {
+        for gateway in &self.gateways {
+            let text = fs::read_to_string(&gateway.config).expect("there");
+            let mut json: Value = serde_json::from_str(&text).expect("JSON");
+            json["discovery"] = discovery.to_string().into();
+            fs::write(&gateway.config, json.to_string()).expect("room");
+            gateway.process.signal("-HUP");
+        }
+    }
+
+    /// The backends that a gateway lists, in order.
+    pub fn lists(&self, place: usize) -> Vec<String> {
+        let all = self.state(place).backends.expect("asked for");
+        let mut names: Vec<String> = all.into_iter().map(|b| b.name).collect();
+        names.sort();
+        names
+    }
+
     pub fn kill_agent(&mut self) {
         if let Some(mut agent) = self.agent.take() {
             agent.kill();
--- /dev/null
+++ b/crates/dnssd/src/lib.rs
@@ -0,0 +1,27 @@
+//! Server lists from DNS-SD records (RFC 6763): no I/O, no clock, no chance but a seed.
+//!
+//! ```text
+//!  bytes of an answer ─▶ answer.rs: is it ours, what does it say
+//!                             │ Answer, or why it is none
+//!                             ▼
+//!  due questions ◀───── cache.rs: lifetimes, re-asks, what is stale
+//!                             │ State of each question
+//!                             ▼
+//!                       catalogue.rs: PTR ─▶ SRV, TXT ─▶ A, AAAA; the list, and who leaves it
+//!                             └─ traits.rs: the keys of TXT
+//! ```
+//!
+//! What is known leaves the list on an authority's word alone: on an answer that says NXDOMAIN or NODATA, or
+//! that lacks it. A resolver that is silent, refuses, fails or lies garbage changes nothing but what is said
+//! of the age of the list. All times are ms of the caller's clock, which never runs backwards.
+
+mod answer;
+mod cache;
+mod catalogue;
+mod traits;
+
+pub use answer::{ask, read, Absence, Answer, BadAnswer, Data, Kind, Question, Service, CHAIN_MOST, PAYLOAD};
+pub use cache::{Bounds, Cache, Due, Known, State};
+pub use catalogue::{Catalogue, Change, Dropped, Endpoint, Reading, INSTANCES_MOST};
+pub use hickory_proto::rr::Name;
+pub use traits::{BadText, Status, Traits};
--- /dev/null
+++ b/crates/dnssd/tests/lists.rs
@@ -0,0 +1,164 @@
+//! Who joins the list, who stays on it through a resolver's failures, and who leaves it.
+
+mod support;
+
+use beechrudder_dnssd::{Bounds, Change, Data, Kind, Service, Status};
+use support::{instance, name, of, World, SERVICE};
+
+const HOUR: f64 = 3_600_000.0;
+
+fn world(labels: &[&str]) -> World {
+    let mut world = World::new(Bounds::default(), 0.5);
+    for (port, label) in (9_000..).zip(labels) {
+        world.put(label, 0, port, &["zone=room", "group=2", "type=m"]);
+    }
+    world.settle();
+    assert_eq!(world.names(), labels);
+    world
+}
+
+#[test]
+fn a_list_is_made_of_pointers_services_texts_and_addresses() {
+    let mut world = World::new(Bounds::default(), 0.5);
+    world.put("t1", 7, 9_001, &["zone=room", "status=draining", "since=12", "colour=red"]);
+    let (changes, _) = world.settle();
+    assert_eq!(changes, [Change::Joined("t1".to_string())]);
+    let (_, one) = world.catalogue.list().next().expect("one");
+    assert_eq!((one.address.to_string().as_str(), one.priority, one.weight), ("127.0.0.1:9001", 7, 1));
+    assert_eq!((one.traits.zone.as_str(), one.traits.status), ("room", Status::Draining));
+    assert_eq!((one.traits.since_ms, one.stale_since), (12.0, None));
+}
+
+#[test]
+fn a_resolver_that_is_down_for_an_hour_takes_nobody_off_and_the_list_says_since_when_it_is_stale() {
+    for why in ["no answer in time", "Server Failure", "Query Refused", "no DNS message"] {
+        let mut world = world(&["t1", "t2", "t3"]);
+        world.broken = Some(why);
+        let changes = world.pass(HOUR);
+        assert_eq!((changes, world.names().len()), (Vec::new(), 3), "{why}");
+        for (_, endpoint) in world.catalogue.list() {
+            let since = endpoint.stale_since.expect("stale");
+            assert!((59_000.0..=61_000.0).contains(&since), "{since}");
+        }
+        let (_, since, said) = world.cache.failing().next().expect("it fails");
+        assert!(since < 61_000.0 && said == why);
+        // Each question once in 22 to 30 s at the most, whatever the lives of its records.
+        let (questions, _) = world.cache.size();
+        let most = HOUR / 22_500.0 * questions as f64 + 10.0 * questions as f64;
+        assert!((world.asked as f64) < most, "{} of {most}", world.asked);
+        world.broken = None;
+        assert_eq!(world.pass(31_000.0), []);
+        assert!(world.catalogue.list().all(|(_, e)| e.stale_since.is_none()));
+    }
+}
+
+#[test]
+fn long_after_records_are_stale_no_more_but_unknown_the_list_still_stands() {
+    let bounds = Bounds { stale_most: 600_000.0, ..Bounds::default() };
+    let mut world = World::new(bounds, 0.5);
+    world.put("t1", 0, 9_001, &[]);
+    world.put("t2", 0, 9_002, &[]);
+    world.settle();
+    world.broken = Some("no answer in time");
+    assert_eq!(world.pass(HOUR / 2.0), []);
+    assert_eq!(world.names(), ["t1", "t2"]);
+    // And it is as the zone has it once that answers.
+    world.broken = None;
+    world.unpoint("t1");
+    world.put("t9", 0, 9_009, &[]);
+    let changes = world.pass(60_000.0);
+    assert!(changes.contains(&Change::Joined("t9".to_string())), "{changes:?}");
+    assert!(changes.iter().any(|c| matches!(c, Change::Left(n, _) if n == "t1")), "{changes:?}");
+}
+
+#[test]
+fn one_that_vanishes_leaves_as_its_record_runs_out_and_comes_back_as_it_was() {
+    let mut world = world(&["t1", "t2", "t3", "t4"]);
+    world.unpoint("t2");
+    let changes = world.pass(60_000.0);
+    let by = of(name(SERVICE), Kind::Ptr);
+    assert_eq!(changes, [Change::Left("t2".to_string(), by)]);
+    assert_eq!(world.doubted, 0);
+    world.point("t2");
+    assert_eq!(world.pass(60_000.0), [Change::Joined("t2".to_string())]);
+    let (_, back) = world.catalogue.list().find(|(n, _)| *n == "t2").expect("back");
+    assert_eq!(back.address.port(), 9_001);
+}
+
+#[test]
+fn a_list_that_would_lose_most_at_once_is_held_until_another_answer_says_so_too() {
+    let mut world = world(&["t1", "t2", "t3", "t4"]);
+    let all = world.zone.clone();
+    // One answer of an empty zone, and true ones after it.
+    world.zone.clear();
+    let ptr = of(name(SERVICE), Kind::Ptr);
+    world.now += 55_000.0;
+    let due = world.cache.due(world.now);
+    assert!(due.iter().any(|d| d.question == ptr));
+    for due in due {
+        let none = beechrudder_dnssd::Answer::None { why: beechrudder_dnssd::Absence::Name, ttl_s: 60 };
+        world.cache.answered(world.now, &due.question, none);
+    }
+    let reading = world.catalogue.read(world.now, &world.cache);
+    assert_eq!((reading.changes.len(), reading.held), (0, 4));
+    assert!(reading.confirm.contains(&ptr));
+    // The same answer read again confirms nothing.
+    assert_eq!(world.catalogue.read(world.now, &world.cache).held, 4);
+    world.zone = all;
+    let (changes, reading) = world.settle();
+    assert_eq!((changes, reading.held, world.names().len()), (Vec::new(), 0, 4));
+    assert!(world.doubted > 0, "asked at once, and of another resolver");
+    // When the second answer says the same, they go.
+    world.zone.clear();
+    let changes = world.pass(120_000.0);
+    assert_eq!((changes.len(), world.names().len()), (4, 0));
+}
+
+#[test]
+fn a_value_that_can_t_be_used_drops_its_instance_alone() {
+    let mut world = world(&["t1", "t2", "t3", "t4"]);
+    world.put("t5", 0, 9_005, &["group=many"]);
+    world.put("t6", 0, 9_006, &["status=gone"]);
+    world.put("t7", 0, 0, &[]);
+    let target = Service { priority: 0, weight: 0, port: 7, target: name(".") };
+    world.put("t8", 0, 9_008, &[]);
+    world.zone.insert(of(instance("t8"), Kind::Srv), vec![Data::Srv(target)]);
+    world.put("t9", 0, 9_009, &[]);
+    world.zone.remove(&of(name("t9.hosts.example.org."), Kind::A));
+    let pointers = world.zone.entry(of(name(SERVICE), Kind::Ptr)).or_default();
+    pointers.push(Data::Ptr(name("t1._shop._tcp.example.org.")));
+    assert_eq!(world.pass(60_000.0), []);
+    let (_, reading) = world.settle();
+    let why = |label: &str| {
+        let dropped = reading.dropped.iter().find(|d| d.instance == instance(label));
+        dropped.map(|d| d.why.clone()).unwrap_or_default()
+    };
+    assert!(why("t5").contains("group") && why("t6").contains("status"), "{:?}", reading.dropped);
+    assert!(why("t7").contains("port") && why("t8").contains("root"), "{:?}", reading.dropped);
+    assert!(why("t9").contains("no address"), "{:?}", reading.dropped);
+    assert!(reading.dropped.iter().any(|d| d.why.contains("no instance of")), "{:?}", reading.dropped);
+    assert_eq!(world.names(), ["t1", "t2", "t3", "t4"]);
+}
+
+#[test]
+fn an_address_that_it_still_has_is_kept_though_others_come() {
+    let mut world = world(&["t1", "t2", "t3"]);
+    let target = of(name("t1.hosts.example.org."), Kind::A);
+    let address = |last| Data::Address([127, 0, 0, last].into());
+    // Sorted, the new one stands first.
+    world.zone.insert(target.clone(), vec![address(0), address(1)]);
+    assert_eq!(world.pass(61_000.0), []);
+    world.zone.insert(target, vec![address(0)]);
+    assert_eq!(world.pass(61_000.0), [Change::Changed("t1".to_string())]);
+}
+
+#[test]
+fn one_in_two_services_by_the_same_name_is_told() {
+    let mut world = world(&["t1", "t2", "t3"]);
+    let service = name("_shop._tcp.example.org.");
+    world.catalogue = beechrudder_dnssd::Catalogue::new(vec![name(SERVICE), service.clone()], 0.5);
+    world.zone.insert(of(service, Kind::Ptr), vec![Data::Ptr(name("t1._shop._tcp.example.org."))]);
+    let (_, reading) = world.settle();
+    assert_eq!(world.names(), ["t1", "t2", "t3"]);
+    assert!(reading.dropped.iter().any(|d| d.why.contains("that name")), "{:?}", reading.dropped);
+}
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -211,6 +211,12 @@
         /// How long to wait for the gateways, ms.
         deadline_ms: u64,
     },
+    /// The server list that the agent makes from its sources.
+    Sources {
+        /// Whether each record is wanted.
+        #[serde(default)]
+        records: bool,
+    },
     /// Every change from now on, until the line is closed.
     Watch,
     /// To oversee a gateway from now on.
@@ -245,6 +251,8 @@
     Orders(Vec<Logged>),
     /// What is in flight, by gateway.
     Inflight(Vec<Instance>),
+    /// The server list from sources.
+    Sources(Box<ListState>),
     /// Something changed.
     Event(String),
     /// Nothing was done.
@@ -375,6 +383,87 @@
     pub state: Result<GatewayState, String>,
 }
 
+/// The server list that is made from sources, and how it stands.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ListState {
+    /// The list, by name.
+    pub list: Vec<ListedState>,
+    /// Instances that are not on it by what they say now.
+    pub dropped: Vec<Because>,
+    /// Questions that go unanswered, the oldest trouble first.
+    pub unanswered: Vec<Unanswered>,
+    /// How many are held on the list until a second answer takes them off.
+    pub held: usize,
+    /// Instances of which not all is known.
+    pub pending: usize,
+    /// Services of which nothing is known.
+    pub unknown: usize,
+    /// Questions asked since the start.
+    pub asked: u64,
+    /// Whether the list is known, and so served.
+    pub known: bool,
+    /// Each record that is followed, where they are wanted.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub records: Vec<RecordState>,
+}
+
+/// A line of the list from sources.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ListedState {
+    /// Its name.
+    pub name: String,
+    /// Where it takes work.
+    pub address: String,
+    /// Its tier: less is used first.
+    pub priority: u16,
+    /// Its weight among those of its tier.
+    pub weight: u16,
+    /// Its zone.
+    pub zone: String,
+    /// Its type.
+    #[serde(rename = "type")]
+    pub kind: String,
+    /// Its group.
+    pub group: u32,
+    /// Whether it serves; else it drains.
+    pub serving: bool,
+    /// When it started, Unix time in ms; 0 for long ago.
+    pub since_ms: f64,
+    /// For how long a record of it is stale, ms; none while all are fresh.
+    pub stale_ms: Option<f64>,
+}
+
+/// Something, and why.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Because {
+    /// What.
+    pub what: String,
+    /// Why.
+    pub why: String,
+}
+
+/// A question that goes unanswered.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Unanswered {
+    /// Name and type.
+    pub question: String,
+    /// For how long, ms.
+    pub for_ms: f64,
+    /// Why it did last.
+    pub why: String,
+}
+
+/// A question that is followed, and its records.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RecordState {
+    /// Name and type.
+    pub question: String,
+    /// How many records there are; none while it is not known.
+    pub records: Option<usize>,
+    /// What is left of their life, ms: below 0 where they are stale.
+    pub life_ms: Option<f64>,
+}
+
 /// Why nothing was done.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Fault {
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -7,6 +7,7 @@
 
 use std::collections::BTreeSet;
 use std::fmt;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -28,6 +29,8 @@
     pub routing: Routing,
     /// The agent.
     pub agent: Option<Agent>,
+    /// Where the agent takes the server list from for gateways; none: it serves no list.
+    pub sources: Option<Sources>,
     /// The gateways that the agent oversees from its start.
     #[serde(default, rename = "gateway")]
     pub gateways: Vec<Gateway>,
@@ -105,6 +108,93 @@
     pub tls: Option<Tls>,
 }
 
+/// The server list that the agent serves to gateways by the discovery protocol, from DNS-SD (RFC 6763).
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Sources {
+    /// Where gateways read it: their configurations name this as `discovery`.
+    pub listen: SocketAddr,
+    /// Services, such as `_till._tcp.ub-room.example.org`: 1 to 64.
+    pub services: Vec<String>,
+    /// Resolvers, of which each answers for all: 1 to 16.
+    pub resolvers: Vec<SocketAddr>,
+    /// How long each resolver may take for a question, ms: 10 to 60,000.
+    #[serde(default = "answer_ms")]
+    pub answer_ms: u64,
+    /// The part of the list that may leave by one answer, 0 to 1. More leave when a second one says so.
+    #[serde(default = "shrink_most")]
+    pub shrink_most: f64,
+    /// The least and the most time for which an answer is believed, s, whatever it says: 1 to 86,400.
+    #[serde(default = "ttl_least_s")]
+    pub ttl_least_s: u32,
+    /// See [`Sources::ttl_least_s`].
+    #[serde(default = "ttl_most_s")]
+    pub ttl_most_s: u32,
+    /// For how long records count as stale and not as unknown when no resolver answers, s: 1 to 604,800.
+    #[serde(default = "stale_most_s")]
+    pub stale_most_s: u32,
+    /// Questions that are out at once: 1 to 1,024.
+    #[serde(default = "questions")]
+    pub questions: usize,
+}
+
+impl Sources {
+    fn wrong(&self, say: &mut impl FnMut(&str, &str)) {
+        if !(1..=64).contains(&self.services.len()) {
+            say("sources.services", "1 to 64 are wanted");
+        }
+        for (i, service) in self.services.iter().enumerate() {
+            let labels: Vec<&str> = service.trim_end_matches('.').split('.').collect();
+            let short = labels.iter().all(|l| (1..=63).contains(&l.len())) && service.len() < 254;
+            if labels.len() < 3 || !labels[..2].iter().all(|l| l.starts_with('_')) || !short {
+                let wanted = "a service is wanted, as in _till._tcp.ub-room.example.org";
+                say(&format!("sources.services[{i}]"), wanted);
+            }
+        }
+        if !(1..=16).contains(&self.resolvers.len()) {
+            say("sources.resolvers", "1 to 16 are wanted, as in 127.0.0.1:53");
+        }
+        if !(10..=60_000).contains(&self.answer_ms) {
+            say("sources.answer_ms", "10 to 60000 is wanted");
+        }
+        if !(0.0..=1.0).contains(&self.shrink_most) {
+            say("sources.shrink_most", "0 to 1 is wanted");
+        }
+        if !(1..=86_400).contains(&self.ttl_least_s) {
+            say("sources.ttl_least_s", "1 to 86400 is wanted");
+        }
+        if !(self.ttl_least_s..=86_400).contains(&self.ttl_most_s) {
+            say("sources.ttl_most_s", "ttl_least_s to 86400 is wanted");
+        }
+        if !(1..=604_800).contains(&self.stale_most_s) {
+            say("sources.stale_most_s", "1 to 604800 is wanted");
+        }
+        if !(1..=1_024).contains(&self.questions) {
+            say("sources.questions", "1 to 1024 is wanted");
+        }
+    }
+}
+
+fn shrink_most() -> f64 {
+    0.5
+}
+
+fn ttl_least_s() -> u32 {
+    1
+}
+
+fn ttl_most_s() -> u32 {
+    3_600
+}
+
+fn stale_most_s() -> u32 {
+    86_400
+}
+
+fn questions() -> usize {
+    64
+}
+
 /// A gateway that the agent oversees.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -245,6 +335,9 @@
                 say("agent.fan_out", "1 to 4096 is wanted");
             }
         }
+        if let Some(sources) = &self.sources {
+            sources.wrong(&mut say);
+        }
         if self.gateways.len() > GATEWAYS_MOST {
             say("gateway", "too many; 10000 at most");
         }
@@ -308,6 +401,12 @@
             ("[routing]\nchoices = 65\nwhole = 2000", "routing.choices: 1 to 64"),
             ("[routing]\nsubsets = 64", "unknown field `subsets`"),
             ("[routing]\ncoverage = -1", "line 2"),
+            ("[sources]\nlisten = \"127.0.0.1:1\"\nservices = []\nresolvers = []", "sources.resolvers: 1"),
+            (
+                "[sources]\nlisten = \"127.0.0.1:1\"\nservices = [\"till.org\"]\nresolvers = []",
+                "sources.services[0]: a service is wanted",
+            ),
+            ("[sources]\nlisten = \"here\"", "line 2"),
             ("[adm", "line 1"),
         ];
         for (text, said) in cases {
--- /dev/null
+++ b/crates/sources/tests/resolver.rs
@@ -0,0 +1,108 @@
+//! Questions to resolvers that are silent, refuse, lie, forge and truncate, over loopback sockets.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use beechrudder_dnssd::{Absence, Answer, Kind, Name, Question};
+use beechrudder_sources::Resolver;
+use beechrudder_testbed::dns::{Dns, Instance, Lie};
+use beechrudder_testbed::switch::Fault;
+
+const SERVICE: &str = "_till._tcp.ub-room.test";
+/// Long, as nothing here waits for it but what is to fail.
+const PATIENCE: Duration = Duration::from_secs(20);
+const SHORT: Duration = Duration::from_millis(150);
+
+fn question(kind: Kind) -> Question {
+    Question { name: Name::from_ascii(format!("{SERVICE}.")).expect("a name"), kind }
+}
+
+async fn zone(instances: usize) -> Dns {
+    let dns = Dns::start(60, 30).await.expect("a port");
+    for i in 0..instances {
+        let (label, service) = (format!("till-{i}"), (0, 1, 9_000));
+        let instance = Instance { label, service, text: Vec::new(), address: Ipv4Addr::LOCALHOST };
+        dns.put(SERVICE, &instance);
+    }
+    dns
+}
+
+fn records(answer: &Answer) -> usize {
+    match answer {
+        Answer::Records { records, .. } => records.len(),
+        other => panic!("{other:?}"),
+    }
+}
+
+#[tokio::test]
+async fn a_short_answer_comes_by_udp_and_a_long_one_by_tcp() {
+    let dns = zone(3).await;
+    let resolver = Resolver::new(vec![dns.address], PATIENCE);
+    let answered = resolver.ask(&question(Kind::Ptr), false).await.expect("an answer");
+    assert_eq!((records(&answered.answer), answered.over_tcp), (3, false));
+    // 2,000 instances in one answer, where a datagram has room for some 60.
+    let dns = zone(2_000).await;
+    let resolver = Resolver::new(vec![dns.address], PATIENCE);
+    let answered = resolver.ask(&question(Kind::Ptr), false).await.expect("an answer");
+    assert_eq!((records(&answered.answer), answered.over_tcp), (2_000, true));
+    assert_eq!(dns.asked(), (1, 1));
+    let none = resolver.ask(&question(Kind::Srv), false).await.expect("an answer").answer;
+    assert_eq!(none, Answer::None { why: Absence::Data, ttl_s: 30 });
+}
+
+#[tokio::test]
+async fn forged_answers_are_passed_over_and_the_true_one_behind_them_is_taken() {
+    let dns = zone(3).await;
+    dns.lie(Lie::Forged);
+    let resolver = Resolver::new(vec![dns.address], PATIENCE);
+    let answered = resolver.ask(&question(Kind::Ptr), false).await.expect("an answer");
+    assert_eq!(records(&answered.answer), 3);
+    // With nothing true behind them there is no answer, and least of all "there is none".
+    dns.lie(Lie::OtherId);
+    let resolver = Resolver::new(vec![dns.address], SHORT);
+    let unanswered = resolver.ask(&question(Kind::Ptr), false).await.expect_err("none");
+    assert!(unanswered.to_string().contains("no answer in time"), "{unanswered}");
+}
+
+#[tokio::test]
+async fn each_failure_goes_on_to_the_next_resolver_and_is_told() {
+    let nobody: SocketAddr = {
+        let socket = std::net::UdpSocket::bind("127.0.0.1:0").expect("a port");
+        socket.local_addr().expect("bound")
+    };
+    let good = zone(3).await;
+    for (fault, said) in [
+        (Fault::Silent, "no answer in time"),
+        (Fault::Failing, "Server Failure"),
+        (Fault::Refusing, "Refused"),
+        (Fault::Garbled, "no DNS message"),
+    ] {
+        let bad = zone(1).await;
+        bad.switch.set(fault);
+        let each = if fault == Fault::Silent { SHORT } else { PATIENCE };
+        let resolver = Resolver::new(vec![bad.address, nobody, good.address], each);
+        let answered = resolver.ask(&question(Kind::Ptr), false).await.expect("an answer");
+        assert_eq!((records(&answered.answer), answered.server), (3, good.address));
+        assert_eq!((answered.tries.len(), answered.tries[0].0), (2, bad.address));
+        let (why, of) = (&answered.tries[0].1, &answered.tries[1].1);
+        assert!(why.to_lowercase().contains(&said.to_lowercase()), "{why}");
+        assert!(of.contains("refused"), "{of}");
+        // The one that answered is asked first from now on, but where its answer is doubted.
+        let before = bad.asked();
+        assert_eq!(resolver.ask(&question(Kind::Ptr), false).await.expect("an answer").tries.len(), 0);
+        assert_eq!(bad.asked(), before);
+        assert_eq!(resolver.ask(&question(Kind::Ptr), true).await.expect("an answer").tries.len(), 2);
+        assert!(bad.asked() > before);
+    }
+}
+
+#[tokio::test]
+async fn an_answer_that_is_cut_over_tcp_as_well_is_none() {
+    let dns = zone(3).await;
+    dns.lie(Lie::Cut);
+    let resolver = Resolver::new(vec![dns.address], PATIENCE);
+    let unanswered = resolver.ask(&question(Kind::Ptr), false).await.expect_err("none");
+    assert!(unanswered.to_string().contains("truncated"), "{unanswered}");
+    let none = Resolver::new(Vec::new(), PATIENCE).ask(&question(Kind::Ptr), false).await;
+    assert!(none.expect_err("none").to_string().contains("no resolver"));
+}
--- /dev/null
+++ b/crates/testbed/src/dns.rs
@@ -0,0 +1,404 @@
+//! A DNS resolver with a zone of its own, over UDP and TCP. Its bytes are written by hand from RFC 1035,
+//! 2308, 2782 and 6891, so that a mistake of the library that reads them shows.
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::task::{JoinHandle, JoinSet};
+use tokio::time::{sleep, timeout};
+
+use crate::switch::{Fault, Switch};
+
+/// Types of records.
+const A: u16 = 1;
+const SOA: u16 = 6;
+const PTR: u16 = 12;
+const TXT: u16 = 16;
+const SRV: u16 = 33;
+const OPT: u16 = 41;
+/// What fits a datagram where the question does not say (RFC 1035, section 4.2.1).
+const PLAIN_MOST: usize = 512;
+/// Questions that are worked on at once.
+const TASKS_MOST: usize = 1_024;
+/// How long a TCP connection may say nothing.
+const QUIET_MOST: Duration = Duration::from_secs(5);
+
+/// How answers of an otherwise sound resolver are wrong.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Lie {
+    /// They are right.
+    #[default]
+    None,
+    /// Each is preceded by one with another id and another one to another question, which say "no such name".
+    Forged,
+    /// Each has another id, and nothing follows.
+    OtherId,
+    /// Each name is said not to exist.
+    Empty,
+    /// All are truncated, over TCP as well.
+    Cut,
+}
+
+/// An instance of a service.
+#[derive(Clone, Debug)]
+pub struct Instance {
+    /// Its first label.
+    pub label: String,
+    /// Its SRV priority, weight and port.
+    pub service: (u16, u16, u16),
+    /// Its TXT strings.
+    pub text: Vec<String>,
+    /// Its address.
+    pub address: Ipv4Addr,
+}
+
+#[derive(Debug, Default)]
+struct Zone {
+    /// Data of records by name, in lower case with the last dot, and type.
+    records: BTreeMap<(String, u16), Vec<Vec<u8>>>,
+    ttl_s: u32,
+    none_s: u32,
+    lie: Lie,
+}
+
+/// A running resolver. It ends with the value.
+#[derive(Debug)]
+pub struct Dns {
+    /// Where it listens, by UDP and TCP.
+    pub address: SocketAddr,
+    /// What is wrong with it; [`Fault::Failing`] is SERVFAIL, [`Fault::Refusing`] REFUSED, and
+    /// [`Fault::Garbled`] bytes that are no message.
+    pub switch: Switch,
+    zone: Arc<Mutex<Zone>>,
+    asked: Arc<(AtomicU64, AtomicU64)>,
+    tasks: [JoinHandle<()>; 2],
+}
+
+impl Dns {
+    /// Starts one whose zone is empty, with lifetimes of records and of "there is none", s.
+    ///
+    /// # Errors
+    /// The system's, if there is no port.
+    pub async fn start(ttl_s: u32, none_s: u32) -> std::io::Result<Dns> {
+        let (udp, tcp) = both().await?;
+        let address = udp.local_addr()?;
+        let zone = Arc::new(Mutex::new(Zone { ttl_s, none_s, ..Zone::default() }));
+        let (switch, asked) = (Switch::default(), Arc::<(AtomicU64, AtomicU64)>::default());
+        let shared = Shared { zone: Arc::clone(&zone), switch: switch.clone(), asked: Arc::clone(&asked) };
+        let tasks = [tokio::spawn(by_udp(udp, shared.clone())), tokio::spawn(by_tcp(tcp, shared))];
+        Ok(Dns { address, switch, zone, asked, tasks })
+    }
+
+    fn with<R>(&self, change: impl FnOnce(&mut Zone) -> R) -> R {
+        change(&mut self.zone.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Puts an instance of a service there, or replaces it.
+    pub fn put(&self, service: &str, instance: &Instance) {
+        let (service, name) = (folded(service), instance_name(&instance.label, service));
+        let host = format!("{}.hosts.test.", instance.label.to_lowercase().replace([' ', '.'], "-"));
+        let (priority, weight, port) = instance.service;
+        let srv = [priority, weight, port].iter().flat_map(|n| n.to_be_bytes()).chain(wire(&host)).collect();
+        let text = instance.text.iter().flat_map(|s| {
+            let bytes = &s.as_bytes()[..s.len().min(255)];
+            std::iter::once(bytes.len() as u8).chain(bytes.iter().copied())
+        });
+        let text: Vec<u8> = if instance.text.is_empty() { vec![0] } else { text.collect() };
+        let pointer = instance_wire(&instance.label, &service);
+        self.with(|zone| {
+            zone.records.insert((name.clone(), SRV), vec![srv]);
+            zone.records.insert((name, TXT), vec![text]);
+            zone.records.insert((host, A), vec![instance.address.octets().to_vec()]);
+            let pointers = zone.records.entry((service, PTR)).or_default();
+            if !pointers.contains(&pointer) {
+                pointers.push(pointer);
+            }
+        });
+    }
+
+    /// Takes an instance's pointer away, and nothing else.
+    pub fn unpoint(&self, service: &str, label: &str) {
+        let (service, pointer) = (folded(service), instance_wire(label, service));
+        self.with(|zone| {
+            zone.records.entry((service, PTR)).or_default().retain(|other| *other != pointer);
+        });
+    }
+
+    /// Sets how its answers are wrong.
+    pub fn lie(&self, lie: Lie) {
+        self.with(|zone| zone.lie = lie);
+    }
+
+    /// Sets the lifetime of records, s.
+    pub fn live(&self, ttl_s: u32) {
+        self.with(|zone| zone.ttl_s = ttl_s);
+    }
+
+    /// Questions that came so far, by UDP and by TCP.
+    #[must_use]
+    pub fn asked(&self) -> (u64, u64) {
+        (self.asked.0.load(Ordering::Relaxed), self.asked.1.load(Ordering::Relaxed))
+    }
+}
+
+impl Drop for Dns {
+    fn drop(&mut self) {
+        self.tasks.iter().for_each(JoinHandle::abort);
+    }
+}
+
+/// A UDP and a TCP socket on one port.
+async fn both() -> std::io::Result<(UdpSocket, TcpListener)> {
+    let mut last = None;
+    for _ in 0..16 {
+        let tcp = TcpListener::bind("127.0.0.1:0").await?;
+        match UdpSocket::bind(tcp.local_addr()?).await {
+            Ok(udp) => return Ok((udp, tcp)),
+            Err(e) => last = Some(e),
+        }
+    }
+    Err(last.unwrap_or_else(|| std::io::ErrorKind::AddrInUse.into()))
+}
+
+fn folded(name: &str) -> String {
+    format!("{}.", name.trim_end_matches('.').to_lowercase())
+}
+
+fn instance_name(label: &str, service: &str) -> String {
+    format!("{}.{}", label.to_lowercase(), folded(service))
+}
+
+/// A name of plain labels.
+fn wire(name: &str) -> Vec<u8> {
+    let labels = name.split('.').filter(|l| !l.is_empty());
+    let bytes = labels.flat_map(|l| std::iter::once(l.len() as u8).chain(l.bytes()));
+    bytes.chain([0]).collect()
+}
+
+/// A name whose first label may hold dots and spaces (RFC 6763, section 4.1.1).
+fn instance_wire(label: &str, service: &str) -> Vec<u8> {
+    std::iter::once(label.len() as u8).chain(label.bytes()).chain(wire(service)).collect()
+}
+
+#[derive(Clone)]
+struct Shared {
+    zone: Arc<Mutex<Zone>>,
+    switch: Switch,
+    asked: Arc<(AtomicU64, AtomicU64)>,
+}
+
+async fn by_udp(socket: UdpSocket, shared: Shared) {
+    let (socket, mut tasks, mut buffer) = (Arc::new(socket), JoinSet::new(), vec![0; 4_096]);
+    loop {
+        tokio::select! {
+            received = socket.recv_from(&mut buffer), if tasks.len() < TASKS_MOST => {
+                let Ok((length, from)) = received else { continue };
+                let (question, socket) = (buffer[..length].to_vec(), Arc::clone(&socket));
+                let shared = shared.clone();
+                shared.asked.0.fetch_add(1, Ordering::Relaxed);
+                tasks.spawn(async move {
+                    for answer in shared.answers(&question, true).await {
+                        // Fails only where nobody waits for it.
+                        let _ = socket.send_to(&answer, from).await;
+                    }
+                });
+            }
+            Some(_) = tasks.join_next(), if !tasks.is_empty() => {}
+        }
+    }
+}
+
+async fn by_tcp(listener: TcpListener, shared: Shared) {
+    let mut tasks = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept(), if tasks.len() < TASKS_MOST => match accepted {
+                Ok((stream, _)) => {
+                    tasks.spawn(talk(stream, shared.clone()));
+                }
+                Err(_) => sleep(Duration::from_millis(20)).await,
+            },
+            Some(_) = tasks.join_next(), if !tasks.is_empty() => {}
+        }
+    }
+}
+
+async fn talk(mut stream: TcpStream, shared: Shared) -> Option<()> {
+    loop {
+        let length = timeout(QUIET_MOST, stream.read_u16()).await.ok()?.ok()?;
+        let mut question = vec![0; usize::from(length)];
+        timeout(QUIET_MOST, stream.read_exact(&mut question)).await.ok()?.ok()?;
+        shared.asked.1.fetch_add(1, Ordering::Relaxed);
+        let answer = shared.answers(&question, false).await.pop()?;
+        let length = u16::try_from(answer.len()).ok()?;
+        stream.write_all(&[&length.to_be_bytes()[..], &answer].concat()).await.ok()?;
+    }
+}
+
+impl Shared {
+    /// The answers to a question, in the order in which they are sent.
+    async fn answers(&self, bytes: &[u8], datagram: bool) -> Vec<Vec<u8>> {
+        self.switch.delay().await;
+        let fault = self.switch.now();
+        if matches!(fault, Fault::Silent | Fault::Resetting) {
+            return Vec::new();
+        }
+        if fault == Fault::Garbled {
+            return vec![vec![0xff; 40]];
+        }
+        let Some(question) = Question::read(bytes) else { return Vec::new() };
+        let code = match fault {
+            Fault::Failing | Fault::Busy => Some(2),
+            Fault::Refusing => Some(5),
+            _ => None,
+        };
+        if let Some(code) = code {
+            return vec![question.answer(question.id, code, &[], &[], false)];
+        }
+        let zone = self.zone.lock().unwrap_or_else(PoisonError::into_inner);
+        let truth = question.told(&zone, datagram);
+        let other = question.id.wrapping_add(1);
+        match zone.lie {
+            Lie::None | Lie::Empty | Lie::Cut => vec![truth],
+            Lie::OtherId => vec![question.answer(other, 3, &[], &[], false)],
+            Lie::Forged => {
+                let strange = Question { wire: wire("other.test."), ..question.clone() };
+                let forged = [(other, &question), (question.id, &strange)];
+                let forged = forged.map(|(id, q)| q.answer(id, 3, &[], &[], false));
+                forged.into_iter().chain([truth]).collect()
+            }
+        }
+    }
+}
+
+#[derive(Clone)]
+struct Question {
+    id: u16,
+    /// The name as it came, and folded.
+    wire: Vec<u8>,
+    name: String,
+    kind: u16,
+    /// The longest answer that it takes by UDP.
+    most: usize,
+}
+
+impl Question {
+    fn read(bytes: &[u8]) -> Option<Question> {
+        let word = |at: usize| Some(u16::from_be_bytes([*bytes.get(at)?, *bytes.get(at + 1)?]));
+        let (id, questions, additional) = (word(0)?, word(4)?, word(10)?);
+        if questions != 1 {
+            return None;
+        }
+        let (mut at, mut name) = (12, String::new());
+        loop {
+            let length = usize::from(*bytes.get(at)?);
+            at += 1;
+            match length {
+                0 => break,
+                1..=63 => {
+                    name += &String::from_utf8_lossy(bytes.get(at..at + length)?).to_lowercase();
+                    name.push('.');
+                    at += length;
+                }
+                _ => return None,
+            }
+        }
+        let (wire, kind) = (bytes[12..at].to_vec(), word(at)?);
+        let opt = additional > 0 && bytes.get(at + 4) == Some(&0) && word(at + 5) == Some(OPT);
+        let most = if opt { usize::from(word(at + 7)?).max(PLAIN_MOST) } else { PLAIN_MOST };
+        Some(Question { id, wire, name, kind, most })
+    }
+
+    /// What the zone says of it.
+    fn told(&self, zone: &Zone, datagram: bool) -> Vec<u8> {
+        if zone.lie == Lie::Cut {
+            return self.answer(self.id, 0, &[], &[], true);
+        }
+        let none = Vec::new();
+        let key = (self.name.clone(), self.kind);
+        let records = if zone.lie == Lie::Empty { &none } else { zone.records.get(&key).unwrap_or(&none) };
+        if records.is_empty() {
+            let known = zone.lie != Lie::Empty && zone.records.keys().any(|(name, _)| *name == self.name);
+            let soa = self.soa(zone.none_s);
+            return self.answer(self.id, if known { 0 } else { 3 }, &[], &[soa], false);
+        }
+        let record = |data: &Vec<u8>| {
+            let mut bytes = vec![0xc0, 12];
+            bytes.extend([self.kind, 1].iter().flat_map(|n| n.to_be_bytes()));
+            bytes.extend(zone.ttl_s.to_be_bytes());
+            // A pointer's last labels are those that were asked for.
+            let short = data.strip_suffix(&self.wire[..]).filter(|_| self.kind == PTR);
+            let data = short.map_or(data.clone(), |first| [first, &[0xc0, 12]].concat());
+            bytes.extend((data.len() as u16).to_be_bytes());
+            bytes.extend(data);
+            bytes
+        };
+        let records: Vec<Vec<u8>> = records.iter().map(record).collect();
+        let whole = self.answer(self.id, 0, &records, &[], false);
+        let most = if datagram { self.most } else { usize::from(u16::MAX) };
+        if whole.len() > most {
+            return self.answer(self.id, 0, &[], &[], true);
+        }
+        whole
+    }
+
+    /// A start of authority at the root: of all names.
+    fn soa(&self, none_s: u32) -> Vec<u8> {
+        let mut bytes = vec![0];
+        bytes.extend([SOA, 1].iter().flat_map(|n| n.to_be_bytes()));
+        bytes.extend(none_s.to_be_bytes());
+        bytes.extend(22u16.to_be_bytes());
+        bytes.extend([0, 0]);
+        bytes.extend([1, 60, 60, 60, none_s].iter().flat_map(|n: &u32| n.to_be_bytes()));
+        bytes
+    }
+
+    fn answer(&self, id: u16, code: u16, answers: &[Vec<u8>], authorities: &[Vec<u8>], cut: bool) -> Vec<u8> {
+        let flags = 0x8180 | code | if cut { 0x0200 } else { 0 };
+        let counts = [id, flags, 1, answers.len() as u16, authorities.len() as u16, 0];
+        let mut bytes: Vec<u8> = counts.iter().flat_map(|n| n.to_be_bytes()).collect();
+        bytes.extend(&self.wire);
+        bytes.extend([self.kind, 1].iter().flat_map(|n| n.to_be_bytes()));
+        answers.iter().chain(authorities).for_each(|record| bytes.extend(record));
+        bytes
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn an_answer_is_what_the_rfcs_say_byte_for_byte() {
+        let mut zone = Zone { ttl_s: 120, none_s: 60, ..Zone::default() };
+        let key = ("_till._tcp.test.".to_string(), PTR);
+        zone.records.insert(key, vec![instance_wire("t 1", "_till._tcp.test.")]);
+        let asked =
+            b"\x12\x34\x01\x00\x00\x01\x00\x00\x00\x00\x00\x00\x05_Till\x04_tcp\x04test\x00\x00\x0c\x00\x01";
+        let question = Question::read(asked).expect("a question");
+        assert_eq!((question.name.as_str(), question.most), ("_till._tcp.test.", 512));
+        // The case of the question comes back, so its pointer is not shortened to what was asked for.
+        let told = question.told(&zone, true);
+        assert_eq!(&told[..12], b"\x12\x34\x81\x80\x00\x01\x00\x01\x00\x00\x00\x00");
+        assert_eq!(&told[12..33], &asked[12..33]);
+        let data = b"\x03t 1\x05_till\x04_tcp\x04test\x00";
+        assert_eq!(&told[33..45], b"\xc0\x0c\x00\x0c\x00\x01\x00\x00\x00\x78\x00\x15");
+        assert_eq!(&told[45..], data);
+        let mut lower = asked.to_vec();
+        lower[13..18].copy_from_slice(b"_till");
+        let told = Question::read(&lower).expect("a question").told(&zone, true);
+        assert_eq!(&told[33..], b"\xc0\x0c\x00\x0c\x00\x01\x00\x00\x00\x78\x00\x06\x03t 1\xc0\x0c");
+        // Of a name that is not there: NXDOMAIN, with the root's start of authority.
+        lower[14] = b'x';
+        let told = Question::read(&lower).expect("a question").told(&zone, true);
+        assert_eq!(&told[2..12], b"\x81\x83\x00\x01\x00\x00\x00\x01\x00\x00");
+        assert_eq!(&told[33..46], b"\x00\x00\x06\x00\x01\x00\x00\x00\x3c\x00\x16\x00\x00");
+        assert_eq!(told.len(), 33 + 11 + 22);
+        assert_eq!(&told[told.len() - 4..], b"\x00\x00\x00\x3c");
+    }
+}
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -4,6 +4,7 @@
 //!  client::Load ──▶ gateways ──▶ backend::Backend      each with a Switch: well, slow, silent, refusing, ...
 //!                      │  └────▶ counter::Counter      a true store beside what it tells
 //!                      └───────▶ discovery::Discovery
+//!                 dns::Dns: a resolver with a zone, for sources of the list
 //!        everything that passes on the sockets ──▶ journal::Journal ──▶ audit::audit: which request broke
 //!        script::Script: faults by a seed                                which of the five rules
 //! ```
@@ -20,6 +21,7 @@
 pub mod client;
 pub mod counter;
 pub mod discovery;
+pub mod dns;
 pub mod journal;
 pub mod overseen;
 pub mod platform;
