A second address, bans and drains by calls, and the platform's socket

The first process exited at its start, as the platform holds the listening socket (listen: Address already in use), and nothing listened at management.

Change: crates/maintenance (calls, the book, its sealed form; pure), a keeper that writes the book down before a yes, a listener of 16 places of its own, orders to the driver that are looked at before requests. Drains leave the listener open. A backend given back counts as started then. A cold backend now has its cold part of an even share by chance whenever that is within its part: where all candidates are looked at it got next to nothing for as long as a warm one was free (0 of 300 requests after a return). Logging by tracing in the gateway.

--- a/crates/benchlink/src/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -265,6 +265,7 @@
         cell: u32::from(f.u16("Directory")?),
         zone: u32::from(f.u8("Directory")?),
         started_ms: f.f64("Directory")?,
+        returned_ms: 0.0,
         weight: f.f32("Directory")?,
         share: 1.0,
     })
--- a/crates/gateway/src/admin.rs
+++ b/crates/gateway/src/admin.rs
@@ -48,7 +48,7 @@
             match arrival.open().await {
                 Ok(lines) => talk(lines, inbox).await,
                 // Why somebody was turned away, never what they sent.
-                Err(e) => eprintln!("slatelock-gateway: admin: turned away: {e}"),
+                Err(e) => tracing::warn!("admin: turned away: {e}"),
             }
             drop(place);
         });
@@ -67,7 +67,7 @@
         };
         // Each reason once, and not every few seconds.
         if said != told && !said.is_empty() {
-            eprintln!("slatelock-gateway: register at {agent}: {said}");
+            tracing::warn!("register at {agent}: {said}");
         }
         sleep(if said.is_empty() { REGISTER_EVERY.1 } else { REGISTER_EVERY.0 }).await;
         told = said;
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -12,7 +12,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, watch, Notify, OwnedSemaphorePermit, Semaphore};
-use tokio::time::{sleep, timeout, Instant};
+use tokio::time::{sleep, sleep_until, timeout, Instant};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -29,10 +29,14 @@
 const LINGER: (Duration, usize) = (Duration::from_millis(200), 256 * 1024);
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// Pause after the listener could not be opened again.
-const REOPEN_PAUSE: Duration = Duration::from_millis(100);
-/// How long a command that has begun may take to come whole.
-const WHOLE_MOST: Duration = Duration::from_millis(2_000);
+/// How long connections go on as before when the gateway is drained: new ones still come meanwhile.
+const DRAIN_GRACE: Duration = Duration::from_millis(300);
+/// How long a connection that is opened later has for its first command.
+const FRESH_MOST: Duration = Duration::from_millis(500);
+/// How long a connection that is to close goes on being read while it never falls quiet.
+const READ_ON: Duration = Duration::from_millis(1_500);
+/// How long a command that has begun may take to come whole; clients may take 2 s for a head.
+const WHOLE_MOST: Duration = Duration::from_millis(2_500);
 /// How long a request may wait for room in the memory.
 const ROOM_MOST: Duration = Duration::from_millis(250);
 /// Buffers larger than this are not kept.
@@ -55,50 +59,38 @@
     pub last: AtomicU64,
     /// Says that connections are to close as soon as they owe no answer.
     pub closing: CancellationToken,
+    /// Whether operators have drained the gateway.
+    pub drained: Drained,
     pub tasks: TaskTracker,
 }
 
 impl Clients {
-    /// Accepts connections until the task ends, at most so many at once. While the gateway is drained the
-    /// listener is closed, so that new ones are refused and go elsewhere, and those that are open close as
-    /// they fall quiet.
-    pub async fn accept(self: Arc<Self>, listener: TcpListener, most: usize, mut drained: Drained) {
+    /// Accepts connections until the task ends, at most so many at once. Those of a drained gateway close as
+    /// they fall quiet. The listener stays: the platform may hold it as well, and what is in its line would
+    /// wait there.
+    pub async fn accept(self: Arc<Self>, listener: TcpListener, most: usize) {
         let mut places = Places { free: Arc::new(Semaphore::new(most)), seats: Vec::new(), most };
-        let Ok(address) = listener.local_addr() else { return };
-        let (mut open, mut closing) = (Some(listener), self.closing.child_token());
+        let (mut drained, mut closing) = (self.drained.clone(), self.closing.child_token());
+        let mut close_at = None;
         loop {
-            let told = *drained.borrow_and_update();
-            match open.take() {
-                Some(listener) if !told => {
-                    tokio::select! {
-                        accepted = listener.accept() => match accepted {
-                            Ok((stream, _)) => self.serve(stream, &mut places, &closing).await,
-                            // Danger: no descriptor left, and a loop that does nothing but fail.
-                            Err(_) => sleep(ACCEPT_PAUSE).await,
-                        },
-                        Ok(()) = drained.changed() => {}
-                    }
-                    open = Some(listener);
+            tokio::select! {
+                accepted = listener.accept() => match accepted {
+                    Ok((stream, _)) => self.serve(stream, &mut places, &closing).await,
+                    // Danger: no descriptor left, and a loop that does nothing but fail.
+                    Err(_) => sleep(ACCEPT_PAUSE).await,
+                },
+                Ok(()) = drained.changed() => {
+                    close_at = if *drained.borrow_and_update() {
+                        Some(Instant::now() + DRAIN_GRACE)
+                    } else {
+                        closing = self.closing.child_token();
+                        None
+                    };
                 }
-                Some(listener) => {
-                    // Danger: connections that the system took already, reset with their first requests.
-                    while let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await {
-                        self.serve(stream, &mut places, &closing).await;
-                    }
+                () = sleep_until(close_at.unwrap_or_else(Instant::now)), if close_at.is_some() => {
                     closing.cancel();
+                    close_at = None;
                 }
-                None if told => {
-                    if drained.changed().await.is_err() {
-                        return;
-                    }
-                }
-                None => match TcpListener::bind(address).await {
-                    Ok(listener) => (open, closing) = (Some(listener), self.closing.child_token()),
-                    Err(e) => {
-                        eprintln!("slatelock-gateway: undrain: {address}: {e}; trying again");
-                        sleep(REOPEN_PAUSE).await;
-                    }
-                },
             }
         }
     }
@@ -118,8 +110,9 @@
         let (clients, closing) = (Arc::clone(self), closing.clone());
         self.tasks.spawn(async move {
             let (owed, quiet) = (VecDeque::new(), Some(seat.opened));
-            let (begun, last) = (None, false);
-            let mut connection = Client { clients, stream, seat, closing, owed, quiet, begun, last };
+            let (begun, last, close_from) = (None, false, None);
+            let mut connection =
+                Client { clients, stream, seat, closing, close_from, owed, quiet, begun, last };
             connection.serve().await;
             connection.left().await;
             drop(place);
@@ -202,6 +195,8 @@
     seat: Arc<Seat>,
     /// Says that it is to close as soon as it owes no answer.
     closing: CancellationToken,
+    /// Since when it knows that.
+    close_from: Option<Instant>,
     owed: VecDeque<Owed>,
     /// Since when nothing is open or half read.
     quiet: Option<Instant>,
@@ -237,11 +232,17 @@
                 let _ = timeout(LINGER.0, self.linger()).await;
                 return;
             }
-            let reading = !self.last && self.owed.len() < PIPELINE_MOST;
+            if closing.is_cancelled() {
+                self.close_from.get_or_insert_with(Instant::now);
+            }
+            // Danger: a client that never lets the connection fall quiet. What is not read it sends
+            // elsewhere.
+            let read_on = self.close_from.is_none_or(|since| since.elapsed() < READ_ON);
+            let reading = !self.last && self.owed.len() < PIPELINE_MOST && read_on;
             if self.note(&input, reading) {
                 timer.as_mut().reset(Instant::now() + WHOLE_MOST);
             }
-            if self.quiet.is_some() && closing.is_cancelled() && !self.more(&mut input) {
+            if self.may_close() && !(read_on && self.more(&mut input)) {
                 let _ = timeout(LINGER.0, self.linger()).await;
                 return;
             }
@@ -260,7 +261,9 @@
                     Ok(0) | Err(_) => return,
                     Ok(_) => {}
                 },
-                () = closing.cancelled(), if self.quiet.is_some() => {}
+                () = closing.cancelled(), if self.close_from.is_none() => {
+                    timer.as_mut().reset(Instant::now() + FRESH_MOST);
+                }
                 () = self.seat.leave.notified() => {
                     if self.quiet.is_some() && !self.more(&mut input) {
                         return;
@@ -299,10 +302,18 @@
         begins
     }
 
+    /// Whether it is to close and may: it owes nothing, and whoever opened it had time for a command.
+    fn may_close(&self) -> bool {
+        let asked = self.seat.commands.load(Ordering::Relaxed) > 0;
+        let fresh = !asked && self.seat.opened.elapsed() < FRESH_MOST;
+        self.close_from.is_some() && self.quiet.is_some() && !fresh
+    }
+
     /// When the present state has lasted too long, if it is one that may.
     fn due(&self) -> Option<Instant> {
         let kind = Use::of(self.seat.commands.load(Ordering::Relaxed));
-        let quiet = self.quiet.map(|since| since + kind.most());
+        let most = if self.close_from.is_some() { kind.most().min(FRESH_MOST) } else { kind.most() };
+        let quiet = self.quiet.map(|since| since + most);
         quiet.or(self.begun.map(|since| since + WHOLE_MOST))
     }
 
@@ -324,6 +335,7 @@
                 }
             };
             let owed = match Command::read(frame, &self.clients.settings, &self.clients.names) {
+                Ok(Command::Ping) if *self.clients.drained.borrow() => Owed::Now(Answer::Drained),
                 Ok(Command::Ping) => Owed::Now(Answer::Pong),
                 Err(unknown) => Owed::Now(Answer::Unknown(unknown.0)),
                 Ok(Command::Call(mut call)) => {
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -13,6 +13,9 @@
 
 use crate::listing::List;
 
+/// Names the second address, where the configuration does not.
+const MANAGEMENT: &str = "GW_MANAGEMENT";
+
 /// Whom the gateway calls; a new configuration may name others.
 #[derive(Clone, Copy, Debug)]
 pub struct Peers {
@@ -26,6 +29,8 @@
     /// Its name, by which operators call it; empty where the configuration has none.
     pub name: String,
     pub listen: SocketAddr,
+    /// The second address, for operators' calls.
+    pub management: Option<SocketAddr>,
     pub peers: Peers,
     pub seed: u64,
     pub sockets: usize,
@@ -58,7 +63,17 @@
 impl Config {
     pub fn read(path: &Path) -> Result<Config, ConfigError> {
         let text = std::fs::read(path).map_err(|e| ConfigError::File(path.to_path_buf(), e))?;
-        Ok(Config::parse(&text)?)
+        let mut config = Config::parse(&text)?;
+        if config.management.is_none() {
+            config.management = match std::env::var(MANAGEMENT).ok().filter(|told| !told.is_empty()) {
+                Some(told) => Some(told.parse().map_err(|_| {
+                    let problem = "an address with a port is wanted";
+                    SettingsError { field: MANAGEMENT.to_string(), problem }
+                })?),
+                None => None,
+            };
+        }
+        Ok(config)
     }
 
     pub fn parse(text: &[u8]) -> Result<Config, SettingsError> {
@@ -113,6 +128,7 @@
         Ok(Config {
             name: top.get("name").ok().and_then(|name| name.as_str()).unwrap_or_default().to_string(),
             listen: address("listen")?,
+            management: top.value("management").map(|_| address("management")).transpose()?,
             peers: Peers {
                 discovery: address("discovery")?,
                 counter: if settings.counter { Some(address("counter")?) } else { None },
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -129,7 +129,7 @@
             Ok(Got::Unreadable(why)) => {
                 // Said once, as it is asked for again until it can be read.
                 if !std::mem::replace(unreadable, true) {
-                    eprintln!("slatelock-gateway: discovery: {why}; the list held stays in force");
+                    tracing::warn!("discovery: {why}; the list held stays in force");
                 }
                 return End::Lost { heard };
             }
@@ -161,11 +161,11 @@
 /// Names the lines of a list that are left out; of many the first.
 pub fn name_wrong(whose: &str, list: &List) {
     for wrong in list.wrong.iter().take(NAMED_MOST) {
-        eprintln!("slatelock-gateway: {whose}: {wrong}; this line is left out");
+        tracing::warn!("{whose}: {wrong}; this line is left out");
     }
     let more = list.wrong.len().saturating_sub(NAMED_MOST);
     if more > 0 {
-        eprintln!("slatelock-gateway: {whose}: {more} more lines are left out");
+        tracing::warn!("{whose}: {more} more lines are left out");
     }
 }
 
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -24,8 +24,9 @@
 use crate::discovery::News;
 use crate::input::{Due, Input, Key};
 use crate::listing::{Endpoint, Status};
+use crate::order::Order;
 use crate::resp::{Answer, Call};
-use crate::roster::Roster;
+use crate::roster::{Roster, Wanted};
 
 pub use overseen::Overseen;
 
@@ -137,12 +138,14 @@
     }
 
     /// Runs until the process ends.
-    pub async fn run(mut self, mut queue: mpsc::Receiver<Input>) {
+    pub async fn run(mut self, mut queue: mpsc::Receiver<Input>, mut orders: mpsc::Receiver<Order>) {
         let mut look_over = interval(LOOK_OVER);
         let mut batch = Vec::with_capacity(BATCH);
         loop {
             tokio::select! {
                 biased;
+                // Danger: an operator's call behind a flood of requests. There are few, one after another.
+                Some(order) = orders.recv() => self.order(order),
                 n = queue.recv_many(&mut batch, BATCH) => {
                     if n == 0 {
                         return;
@@ -461,8 +464,8 @@
         for endpoint in endpoints {
             let gone = matches!(endpoint.status, Status::Deleted).then(|| endpoint.name.clone());
             let address = endpoint.address;
-            let desired = &self.overseen.desired;
-            let Some(entry) = self.roster.take(endpoint, desired, &self.names.zones) else { continue };
+            let wanted = Wanted { desired: &self.overseen.desired, book: &self.overseen.book };
+            let Some(entry) = self.roster.take(endpoint, wanted, &self.names.zones) else { continue };
             gone.into_iter().for_each(|name| self.roster.remove(&name));
             lines.push((entry, address));
         }
--- a/crates/gateway/src/driver/overseen.rs
+++ b/crates/gateway/src/driver/overseen.rs
@@ -6,17 +6,22 @@
     Applied, BackendState, Code, Fault, Figures, GatewayAsk, GatewaySay, GatewayState, Verdict, ORDERS_MOST,
 };
 use beechrudder_fleet::{Desired, OrderId, Subject};
+use beechrudder_maintenance::Book;
 use slatelock::BackendView;
 use tokio::sync::watch;
 use tokio_util::task::TaskTracker;
 
 use super::Driver;
 use crate::listing::Status;
+use crate::order::Order;
+use crate::roster::Wanted;
 
 /// What operators want of this gateway, and what only the rest of the program knows of it.
 #[derive(Debug)]
 pub struct Overseen {
     pub desired: Desired,
+    /// What calls at the second address left in force.
+    pub book: Book,
     name: String,
     /// New with each start, below 2^53.
     boot: u64,
@@ -29,8 +34,8 @@
 
 impl Overseen {
     pub fn new(name: String, boot: u64, clients: TaskTracker, drained: watch::Sender<bool>) -> Self {
-        let (desired, last_order) = (Desired::default(), None);
-        Overseen { desired, name, boot, last_order, clients, drained }
+        let (desired, book, last_order) = (Desired::default(), Book::default(), None);
+        Overseen { desired, book, name, boot, last_order, clients, drained }
     }
 }
 
@@ -61,14 +66,42 @@
         }
     }
 
-    /// Carries out what the orders have changed, before anybody is told that they were taken in.
-    fn ordered(&mut self, verdicts: Vec<Verdict>) -> GatewaySay {
-        let lines = self.roster.reorder(&self.overseen.desired, &self.names.zones);
+    /// Does what the keeper of the book wants, before it is told that it is done.
+    pub(super) fn order(&mut self, order: Order) {
+        match order {
+            // Each answer fails only when whoever asked is gone.
+            Order::Lists { id, say } => drop(say.send(self.roster.lists(&id))),
+            Order::Adopt { book, say } => {
+                self.adopt(book);
+                let _ = say.send(());
+            }
+        }
+    }
+
+    /// Puts a book in force if it is newer than the one that is.
+    pub fn adopt(&mut self, book: Book) {
+        if book.newer_than(self.overseen.book.revision()) {
+            self.overseen.book = book;
+            self.want();
+        }
+    }
+
+    /// Carries out what operators want by now: of backends, and of the gateway itself.
+    fn want(&mut self) {
+        let wanted = Wanted { desired: &self.overseen.desired, book: &self.overseen.book };
+        let lines = self.roster.reorder(wanted, &self.names.zones);
         if !lines.is_empty() {
             self.lines(slatelock::interface::ListScope::Delta, lines);
         }
-        let drained = self.overseen.desired.gateway_drained(&self.overseen.name).is_some();
+        let overseen = &self.overseen;
+        let drained = overseen.desired.gateway_drained(&overseen.name).is_some()
+            || overseen.book.drained_ms().is_some();
         self.overseen.drained.send_if_modified(|was| std::mem::replace(was, drained) != drained);
+    }
+
+    /// Carries out what the orders have changed, before anybody is told that they were taken in.
+    fn ordered(&mut self, verdicts: Vec<Verdict>) -> GatewaySay {
+        self.want();
         let (boot, holds) = (self.overseen.boot, self.overseen.desired.revision());
         GatewaySay::Applied(Applied { boot, holds, verdicts })
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,7 +1,8 @@
 //! The gateway: serves clients on a socket by the decisions of `slatelock`.
 //!
 //! ```text
-//!  admin ────┐
+//!  management ─ keeper ─ Order ┐ (looked at first)
+//!  admin ────┐                ▼
 //!  clients ──┤                         ┌── backends   pools, exchanges
 //!  discovery ┼─ Input ─▶ driver ─ Action ┼── counter    calls
 //!  counter ──┘            │            └── clients    the one final answer
@@ -19,9 +20,13 @@
 mod counter;
 mod discovery;
 mod driver;
+mod folder;
 mod input;
 mod keep;
+mod keeper;
 mod listing;
+mod management;
+mod order;
 mod resp;
 mod roster;
 mod serve;
@@ -37,6 +42,8 @@
 /// # Errors
 /// One line that names what is wrong: the variable, the file, a key, or a socket.
 pub fn run(operator: Option<&Path>) -> Result<(), String> {
+    // Fails only where a log is set up already.
+    let _ = tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).try_init();
     let operator = operator.map(Operator::read).transpose().map_err(|e| e.to_string())?;
     let path = PathBuf::from(std::env::var_os("GW_CONFIG").ok_or("GW_CONFIG: missing")?);
     let config = config::Config::read(&path).map_err(|e| e.to_string())?;
--- /dev/null
+++ b/crates/gateway/src/order.rs
@@ -0,0 +1,12 @@
+//! What the keeper of operators' book asks of the driver, on a way of its own that is looked at first.
+
+use beechrudder_maintenance::Book;
+use tokio::sync::oneshot;
+
+/// An order.
+pub enum Order {
+    /// Whether a backend is on the list.
+    Lists { id: String, say: oneshot::Sender<bool> },
+    /// Puts a book in force if it is newer than the one that is; answered when it is.
+    Adopt { book: Book, say: oneshot::Sender<()> },
+}
--- a/crates/gateway/src/resp.rs
+++ b/crates/gateway/src/resp.rs
@@ -269,6 +269,8 @@
     Unknown(&'static str),
     /// The gateway serves.
     Pong,
+    /// It serves, but operators have drained it.
+    Drained,
 }
 
 impl Answer {
@@ -281,6 +283,7 @@
             Answer::Refused(Some(ms)) => error(format!("BUSY {ms}")),
             Answer::Failed => error("ERR failed".to_string()),
             Answer::Unknown(what) => error(format!("ERR {what}")),
+            Answer::Drained => error("ERR drained".to_string()),
             Answer::Pong => BytesFrame::SimpleString(Bytes::from_static(b"PONG")),
         };
         put(buffer, &frame);
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -4,10 +4,19 @@
 use std::net::SocketAddr;
 
 use beechrudder_fleet::{Desired, Effect, Subject};
+use beechrudder_maintenance::Book;
 use slatelock::interface::{BackendEntry, Readiness};
 
 use crate::listing::{Endpoint, Status};
 
+/// What operators want: the agent's orders, and calls at the second address. Each holds by itself: a backend
+/// takes work only where neither holds it out.
+#[derive(Clone, Copy, Debug)]
+pub struct Wanted<'a> {
+    pub desired: &'a Desired,
+    pub book: &'a Book,
+}
+
 /// A backend on the list.
 #[derive(Debug)]
 pub struct Row {
@@ -17,6 +26,24 @@
     pub endpoint: Endpoint,
     /// What orders make of it.
     pub effect: Effect,
+    /// Since when a call bans it, Unix time in ms.
+    pub banned_ms: Option<f64>,
+    /// When a call gave it back, Unix time in ms; 0 for never.
+    returned_ms: f64,
+}
+
+impl Row {
+    /// Looks anew at what operators want of it; tells whether that is something else.
+    fn want(&mut self, wanted: Wanted<'_>) -> bool {
+        let e = &self.endpoint;
+        let effect = wanted.desired.effect(&e.name, e.group, &e.kind);
+        let (banned, returned) = (wanted.book.banned_ms(&e.name), wanted.book.returned_ms(&e.name));
+        // A return that is forgotten is one of a backend that is warm.
+        let other = effect != self.effect || banned != self.banned_ms || returned > self.returned_ms;
+        (self.effect, self.banned_ms) = (effect, banned);
+        self.returned_ms = self.returned_ms.max(returned);
+        other
+    }
 }
 
 /// All backends on the list, by name.
@@ -40,15 +67,21 @@
 
     /// Takes a line of discovery's in, and gives the one that the decisions are to have; `None` for a
     /// backend that is gone and was not known.
-    pub fn take(&mut self, endpoint: Endpoint, desired: &Desired, zones: &[String]) -> Option<BackendEntry> {
-        let (effect, name) = (effect(&endpoint, desired), endpoint.name.clone());
+    pub fn take(&mut self, endpoint: Endpoint, wanted: Wanted<'_>, zones: &[String]) -> Option<BackendEntry> {
+        let name = endpoint.name.clone();
         self.changes += 1;
         match self.rows.get_mut(&name) {
-            Some(row) => (row.endpoint, row.effect) = (endpoint, effect),
+            Some(row) => {
+                row.endpoint = endpoint;
+                row.want(wanted);
+            }
             None if matches!(endpoint.status, Status::Deleted) => return None,
             None => {
                 self.last += 1;
-                self.rows.insert(name.clone(), Box::new(Row { number: self.last, endpoint, effect }));
+                let (effect, number) = (Effect { drained_by: None, weight: 1.0 }, self.last);
+                let mut row = Row { number, endpoint, effect, banned_ms: None, returned_ms: 0.0 };
+                row.want(wanted);
+                self.rows.insert(name.clone(), Box::new(row));
             }
         }
         self.rows.get(&name).map(|row| self.entry(row, zones))
@@ -71,13 +104,16 @@
         self.rows.remove(name);
     }
 
-    /// Works out anew what orders make of the list. Gives the lines that the decisions are to have.
-    pub fn reorder(&mut self, desired: &Desired, zones: &[String]) -> Vec<(BackendEntry, SocketAddr)> {
+    /// Whether a backend is on the list, in whatever state.
+    pub fn lists(&self, name: &str) -> bool {
+        self.rows.contains_key(name)
+    }
+
+    /// Works out anew what operators make of the list. Gives the lines that the decisions are to have.
+    pub fn reorder(&mut self, wanted: Wanted<'_>, zones: &[String]) -> Vec<(BackendEntry, SocketAddr)> {
         let mut changed = Vec::new();
         for (name, row) in &mut self.rows {
-            let effect = effect(&row.endpoint, desired);
-            if effect != row.effect {
-                row.effect = effect;
+            if row.want(wanted) {
                 changed.push(name.clone());
             }
         }
@@ -121,7 +157,9 @@
         let endpoint = &row.endpoint;
         let zone = zones.iter().position(|z| *z == endpoint.zone);
         let state = match Readiness::from(endpoint.status) {
-            Readiness::Ready if row.effect.drained_by.is_some() => Readiness::Draining,
+            Readiness::Ready if row.effect.drained_by.is_some() || row.banned_ms.is_some() => {
+                Readiness::Draining
+            }
             told => told,
         };
         BackendEntry {
@@ -133,6 +171,7 @@
             key: hash(&endpoint.name),
             kind: hash(&endpoint.kind) as u32,
             started_ms: endpoint.since_ms,
+            returned_ms: row.returned_ms,
             weight: endpoint.weight,
             share: (row.effect.weight / self.greatest).min(1.0),
         }
@@ -155,10 +194,6 @@
     }
 }
 
-fn effect(endpoint: &Endpoint, desired: &Desired) -> Effect {
-    desired.effect(&endpoint.name, endpoint.group, &endpoint.kind)
-}
-
 /// FNV-1a (Fowler, Noll and Vo, 1991): the same in every build, as gateways of several may share a fleet.
 fn hash(name: &str) -> u64 {
     let step = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
@@ -181,6 +216,11 @@
         desired.apply(&Order { id, revision, subject: subject.parse().expect("one"), change });
     }
 
+    fn only(desired: &Desired) -> Wanted<'_> {
+        static NONE: std::sync::OnceLock<Book> = std::sync::OnceLock::new();
+        Wanted { desired, book: NONE.get_or_init(Book::default) }
+    }
+
     fn state(roster: &Roster, name: &str) -> Readiness {
         roster.entry(&roster.rows[name], &[]).state
     }
@@ -190,18 +230,18 @@
         let (mut roster, mut desired) = (Roster::new(), Desired::default());
         order(&mut desired, 1, "a", Change::Drain);
         order(&mut desired, 2, "b", Change::Undrain);
-        roster.take(endpoint("a", Status::Serving), &desired, &[]);
-        roster.take(endpoint("b", Status::Draining), &desired, &[]);
+        roster.take(endpoint("a", Status::Serving), only(&desired), &[]);
+        roster.take(endpoint("b", Status::Draining), only(&desired), &[]);
         assert_eq!((state(&roster, "a"), state(&roster, "b")), (Readiness::Draining, Readiness::Draining));
         order(&mut desired, 3, "a", Change::Undrain);
-        let changed = roster.reorder(&desired, &[]);
+        let changed = roster.reorder(only(&desired), &[]);
         assert_eq!(changed.len(), 1);
         assert_eq!(state(&roster, "a"), Readiness::Ready);
         // Ordered by its group, one that comes later is drained from the first.
         order(&mut desired, 4, "group/3", Change::Drain);
-        roster.take(endpoint("c", Status::Serving), &desired, &[]);
+        roster.take(endpoint("c", Status::Serving), only(&desired), &[]);
         assert_eq!(state(&roster, "c"), Readiness::Draining);
-        roster.take(endpoint("c", Status::Deleted), &desired, &[]);
+        roster.take(endpoint("c", Status::Deleted), only(&desired), &[]);
         assert_eq!(state(&roster, "c"), Readiness::Gone);
     }
 
@@ -209,14 +249,14 @@
     fn shares_are_weights_over_the_greatest() {
         let (mut roster, mut desired) = (Roster::new(), Desired::default());
         for name in ["a", "b", "c"] {
-            roster.take(endpoint(name, Status::Serving), &desired, &[]);
+            roster.take(endpoint(name, Status::Serving), only(&desired), &[]);
         }
         order(&mut desired, 1, "a", Change::Weight(0.5));
-        assert_eq!(roster.reorder(&desired, &[]).len(), 1);
+        assert_eq!(roster.reorder(only(&desired), &[]).len(), 1);
         let share = |roster: &Roster, name: &str| roster.entry(&roster.rows[name], &[]).share;
         assert_eq!((share(&roster, "a"), share(&roster, "b")), (0.5, 1.0));
         order(&mut desired, 2, "b", Change::Weight(4.0));
-        let changed = roster.reorder(&desired, &[]);
+        let changed = roster.reorder(only(&desired), &[]);
         assert_eq!(changed.iter().map(|(e, _)| e.id).collect::<Vec<_>>(), [1, 2, 3]);
         let shares = ["a", "b", "c"].map(|n| share(&roster, n));
         assert_eq!(shares, [0.125, 1.0, 0.25]);
@@ -225,10 +265,27 @@
     #[test]
     fn a_number_is_never_used_again() {
         let (mut roster, desired) = (Roster::new(), Desired::default());
-        let first = roster.take(endpoint("a", Status::Serving), &desired, &[]).map(|e| e.id);
+        let first = roster.take(endpoint("a", Status::Serving), only(&desired), &[]).map(|e| e.id);
         roster.keep_only(|_| false);
-        assert!(roster.take(endpoint("a", Status::Deleted), &desired, &[]).is_none());
-        let second = roster.take(endpoint("a", Status::Serving), &desired, &[]).map(|e| e.id);
+        assert!(roster.take(endpoint("a", Status::Deleted), only(&desired), &[]).is_none());
+        let second = roster.take(endpoint("a", Status::Serving), only(&desired), &[]).map(|e| e.id);
         assert_ne!(first, second);
     }
+
+    #[test]
+    fn a_ban_holds_through_another_life_and_a_return_is_cold() {
+        let (mut roster, desired, mut book) = (Roster::new(), Desired::default(), Book::default());
+        let call = |line: &str| beechrudder_maintenance::Call::read(line.as_bytes()).expect("a call");
+        roster.take(endpoint("a", Status::Serving), only(&desired), &[]);
+        book.carry_out(&call("DISABLE a"), true, 5.0).expect("it is listed");
+        assert_eq!(roster.reorder(Wanted { desired: &desired, book: &book }, &[]).len(), 1);
+        assert_eq!(state(&roster, "a"), Readiness::Draining);
+        let again = Endpoint { since_ms: 7.0, ..endpoint("a", Status::Serving) };
+        roster.take(again, Wanted { desired: &desired, book: &book }, &[]);
+        assert_eq!(state(&roster, "a"), Readiness::Draining);
+        book.carry_out(&call("ENABLE a"), true, 9.0).expect("it is banned");
+        let changed = roster.reorder(Wanted { desired: &desired, book: &book }, &[]);
+        assert_eq!(changed[0].0.state, Readiness::Ready);
+        assert_eq!((changed[0].0.started_ms, changed[0].0.cold_from_ms()), (7.0, 9.0));
+    }
 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -1,5 +1,6 @@
 //! The life of a gateway: start, signals, drain.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::AtomicU64;
 use std::sync::Arc;
@@ -24,7 +25,10 @@
 use crate::counter::Counter;
 use crate::discovery::{self, Known, News};
 use crate::driver::{Around, Driver, Overseen};
+use crate::folder::Folder;
 use crate::input::Input;
+use crate::keeper::{Keeper, Stage};
+use crate::management;
 
 /// Descriptors for all but clients and backends: the runtime, the log, and the counter and discovery twice,
 /// as the old connections may still stand when a new configuration names others.
@@ -48,6 +52,10 @@
 const DRAIN_MOST_MS: f64 = 3_000.0;
 /// Part of the 0.7 s between that and the kill that the drain may use.
 const DRAIN_MORE: Duration = Duration::from_millis(300);
+/// Orders and calls of operators that may wait; there are few, one after another.
+const CALLS: usize = 32;
+/// Names the descriptor of the clients' socket, where the platform holds it.
+const SOCKET: &str = "GW_SOCKET_FD";
 /// How long the last answers may take to be written.
 const LAST_ANSWERS: Duration = Duration::from_millis(200);
 
@@ -71,7 +79,7 @@
         let new = match Config::read(&path) {
             Ok(config) => config.peers,
             Err(e) => {
-                eprintln!("slatelock-gateway: SIGHUP: {e}; the old configuration stays");
+                tracing::warn!("SIGHUP: {e}; the old configuration stays");
                 continue;
             }
         };
@@ -93,9 +101,35 @@
     (((clock.now_ms() as u64) << 12) | u64::from(std::process::id() & 0xfff)) & ((1 << 53) - 1)
 }
 
+/// The clients' socket: the one that the platform holds, if it names a descriptor, else one of its own.
+async fn clients_socket(listen: SocketAddr) -> Result<TcpListener, String> {
+    let Ok(number) = std::env::var(SOCKET) else {
+        return TcpListener::bind(listen).await.map_err(|e| format!("listen: {e}"));
+    };
+    let wrong = |what: &str| format!("{SOCKET}: {number:?}: {what}");
+    number.parse::<u16>().map_err(|_| wrong("the number of a descriptor is wanted"))?;
+    // `listenfd` goes by the names that systemd gives; no other thread runs yet that could read them.
+    std::env::set_var("LISTEN_FDS", "1");
+    std::env::set_var("LISTEN_FDS_FIRST_FD", &number);
+    std::env::remove_var("LISTEN_PID");
+    let taken = listenfd::ListenFd::from_env().take_tcp_listener(0);
+    let socket = taken.map_err(|e| wrong(&e.to_string()))?.ok_or_else(|| wrong("no socket"))?;
+    socket.set_nonblocking(true).map_err(|e| wrong(&e.to_string()))?;
+    TcpListener::from_std(socket).map_err(|e| wrong(&e.to_string()))
+}
+
+/// The folder that the processes of this gateway share. None without `$TMPDIR`; and what else can't be had is
+/// no reason not to serve.
+fn folder(listen: SocketAddr, boot: u64) -> Option<Folder> {
+    let under = std::env::var_os("TMPDIR")?;
+    let opened = Folder::open(std::path::Path::new(&under), listen, boot);
+    opened.map_err(|e| tracing::warn!("no folder under TMPDIR: {e}; bans end with this process")).ok()
+}
+
 /// Serves until SIGTERM has been carried out.
 pub async fn serve(config: Config, path: PathBuf, operator: Operator) -> Result<(), String> {
-    let Config { name, listen, peers, seed, sockets, memory_mb, known, mut settings, names } = config;
+    let Config { name, listen, management, peers, seed, sockets, memory_mb, known, mut settings, names } =
+        config;
     let Operator { admin, routing, .. } = operator;
     let beechrudder_operator::Routing { whole, choices, subset, coverage } = routing;
     settings.routing = Routing { whole, choices, subset, coverage };
@@ -103,22 +137,38 @@
     let failed = |what: &'static str| move |e: std::io::Error| format!("{what}: {e}");
     let mut terminate = signal(SignalKind::terminate()).map_err(failed("SIGTERM"))?;
     let hangup = signal(SignalKind::hangup()).map_err(failed("SIGHUP"))?;
-    let listener = TcpListener::bind(listen).await.map_err(failed("listen"))?;
     let clock = Clock::start();
+    let (boot, stage) = (boot(clock), Stage::default());
+    let (orders, ordered) = mpsc::channel(CALLS);
+    let (calls, called) = mpsc::channel(CALLS);
+    // Asked before it is ready, it says so.
+    let mut places = sockets.saturating_sub(SPARE_SOCKETS);
+    if let Some(address) = management {
+        let second = TcpListener::bind(address).await.map_err(|e| format!("management: {address}: {e}"))?;
+        places = places.saturating_sub(management::PLACES);
+        tokio::spawn(management::serve(second, calls.clone()));
+    }
+    let places = places / 2;
+    let listener = clients_socket(listen).await?;
     let gateway = Gateway::new(settings.clone(), seed, clock.now_ms()).map_err(|e| e.to_string())?;
 
     let (inbox, mut queue) = mpsc::channel(INBOX);
     let wait = Duration::from_secs_f64(settings.counter_timeout_ms / 1000.0);
     let counter = peers.counter.map(|address| Counter::start(address, wait, &inbox));
-    let places = sockets.saturating_sub(SPARE_SOCKETS) / 2;
     let connect_limit = Duration::from_secs_f64(settings.limits.connect_timeout_ms / 1000.0);
     let backends = Backends::new(places, names.idle_close_ms, connect_limit);
     let room = Arc::new(Semaphore::new((memory_mb << 20) / ROOM_PART));
     let (tasks, (drain, drained)) = (TaskTracker::new(), watch::channel(false));
-    let overseen = Overseen::new(name.clone(), boot(clock), tasks.clone(), drain);
+    let overseen = Overseen::new(name.clone(), boot, tasks.clone(), drain);
     let (asks, bytes) = (inbox.clone(), Arc::clone(&room));
     let around = Around { backends, counter, inbox: asks, room: bytes, overseen };
     let mut driver = Driver::new(gateway, clock, names.clone(), around);
+    let shared = management.and_then(|_| folder(listen, boot));
+    let warm_up_ms = settings.slow_start.warm_up_ms;
+    let keeper = Keeper::new(shared, clock, warm_up_ms, stage.clone(), orders);
+    // Danger: a ban from before that begins only after the first requests.
+    driver.adopt(keeper.book());
+    tokio::spawn(keeper.run(called));
     // Danger: each start of a large fleet asks for the whole list, of which it has all but the last changes.
     let index = Some(known.index).filter(|_| !known.endpoints.is_empty());
     let held = Known { index, gateways: settings.gateways, seed };
@@ -131,7 +181,7 @@
     if let Ok(Some(first)) = timeout(first, queue.recv()).await {
         driver.take(first);
     }
-    tokio::spawn(driver.run(queue));
+    tokio::spawn(driver.run(queue, ordered));
 
     let deadline_ms = settings.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
     let drain = Duration::from_secs_f64(deadline_ms.min(DRAIN_MOST_MS) / 1000.0) + DRAIN_MORE;
@@ -143,6 +193,7 @@
         room,
         last: AtomicU64::new(0),
         closing: closing.clone(),
+        drained,
         tasks: tasks.clone(),
     });
     if let Some(admin) = admin {
@@ -157,8 +208,10 @@
         tokio::spawn(admin::serve(listener, inbox.clone()));
     }
     println!("listening on {}", listener.local_addr().map_err(failed("listen"))?);
-    let accepting = tokio::spawn(clients.accept(listener, places, drained));
+    let accepting = tokio::spawn(clients.accept(listener, places));
+    stage.serves();
     terminate.recv().await;
+    stage.ends();
     let end = Instant::now() + drain;
     sleep(drain.saturating_sub(CLOSING).max(ACCEPT_ON.min(drain))).await;
     accepting.abort();
--- /dev/null
+++ b/crates/maintenance/src/call.rs
@@ -0,0 +1,100 @@
+//! A call: one line of text.
+
+use std::fmt;
+
+/// The longest line, bytes, its end left out.
+pub const LINE_MOST: usize = 16 * 1024;
+/// The longest id of a backend, bytes: that of a domain name (RFC 1035, section 2.3.4).
+pub const ID_MOST: usize = 253;
+
+/// What a caller wants.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// Whether this process is ready to serve.
+    Ready,
+    /// Nothing more to this backend.
+    Disable(String),
+    /// Use this backend again.
+    Enable(String),
+    /// Empty the gateway.
+    Drain,
+    /// Take clients again.
+    Undrain,
+}
+
+/// Why a line is no call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum BadCall {
+    /// It holds bytes that are no text.
+    NoText,
+    /// It holds no word.
+    Empty,
+    /// Its first word is none that is known.
+    Unknown,
+    /// A backend's id is missing.
+    NoId,
+    /// There are more words than the call takes.
+    Surplus,
+    /// The id has so many bytes, more than [`ID_MOST`].
+    LongId(usize),
+}
+
+impl fmt::Display for BadCall {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            BadCall::NoText => f.write_str("a line of text is wanted"),
+            BadCall::Empty => f.write_str("empty line"),
+            BadCall::Unknown => f.write_str("unknown call; READY, DISABLE, ENABLE, DRAIN, UNDRAIN are known"),
+            BadCall::NoId => f.write_str("the id of a backend is missing"),
+            BadCall::Surplus => f.write_str("more words than the call takes"),
+            BadCall::LongId(n) => write!(f, "an id of {n} bytes; {ID_MOST} at most"),
+        }
+    }
+}
+
+impl std::error::Error for BadCall {}
+
+impl Call {
+    /// Reads a line, its end left out. Words are parted by spaces or tabs; the first is read in any case.
+    ///
+    /// # Errors
+    /// A [`BadCall`] that says what is wrong.
+    pub fn read(line: &[u8]) -> Result<Call, BadCall> {
+        // Danger: bytes that write to a terminal, quoted in an answer or a log.
+        let text = std::str::from_utf8(line).map_err(|_| BadCall::NoText)?;
+        if text.chars().any(|c| c.is_control() && !matches!(c, '\t' | '\r')) {
+            return Err(BadCall::NoText);
+        }
+        let mut words = text.split_ascii_whitespace();
+        let verb = words.next().ok_or(BadCall::Empty)?.to_ascii_uppercase();
+        let mut id = || match words.next() {
+            None => Err(BadCall::NoId),
+            Some(id) if id.len() > ID_MOST => Err(BadCall::LongId(id.len())),
+            Some(id) => Ok(id.to_string()),
+        };
+        let call = match verb.as_str() {
+            "READY" => Call::Ready,
+            "DISABLE" => Call::Disable(id()?),
+            "ENABLE" => Call::Enable(id()?),
+            "DRAIN" => Call::Drain,
+            "UNDRAIN" => Call::Undrain,
+            _ => return Err(BadCall::Unknown),
+        };
+        if words.next().is_some() {
+            return Err(BadCall::Surplus);
+        }
+        Ok(call)
+    }
+}
+
+impl fmt::Display for Call {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Call::Ready => f.write_str("READY"),
+            Call::Disable(id) => write!(f, "DISABLE {id}"),
+            Call::Enable(id) => write!(f, "ENABLE {id}"),
+            Call::Drain => f.write_str("DRAIN"),
+            Call::Undrain => f.write_str("UNDRAIN"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/maintenance/src/lib.rs
@@ -0,0 +1,11 @@
+//! Calls of operators to one gateway at its second address, and what they leave in force.
+//!
+//! No I/O, no clock. [`Call`] reads a line, [`Book`] holds bans of backends, their returns and the drain of
+//! the gateway, and [`sealed`] is the form in which a book goes from one process of a gateway to the next.
+
+mod book;
+mod call;
+pub mod sealed;
+
+pub use book::{Book, Done, Refused, BANS_MOST, RETURNS_MOST};
+pub use call::{BadCall, Call, ID_MOST, LINE_MOST};
--- a/crates/slatelock/src/interface.rs
+++ b/crates/slatelock/src/interface.rs
@@ -284,6 +284,8 @@
     pub kind: u32,
     /// When it started; 0 for long ago.
     pub started_ms: f64,
+    /// When operators gave it back after a ban, in which it was restarted; 0 for never.
+    pub returned_ms: f64,
     /// Its registered size against the others', where known.
     pub weight: f64,
     /// Its share of new work against those of share 1, as operators want it: above 0, at most 1.
@@ -292,8 +294,27 @@
 
 impl Default for BackendEntry {
     fn default() -> Self {
-        let (state, started_ms, weight, share) = (Readiness::Ready, 0.0, 0.0, 1.0);
-        BackendEntry { id: 0, key: 0, state, cell: 0, zone: 0, kind: 0, started_ms, weight, share }
+        let (state, started_ms, returned_ms, weight, share) = (Readiness::Ready, 0.0, 0.0, 0.0, 1.0);
+        BackendEntry {
+            id: 0,
+            key: 0,
+            state,
+            cell: 0,
+            zone: 0,
+            kind: 0,
+            started_ms,
+            returned_ms,
+            weight,
+            share,
+        }
+    }
+}
+
+impl BackendEntry {
+    /// From when it is cold: its start, or its return after a ban, whichever came last.
+    #[must_use]
+    pub fn cold_from_ms(&self) -> f64 {
+        self.started_ms.max(self.returned_ms)
     }
 }
 
--- a/crates/slatelock/src/policy/choice.rs
+++ b/crates/slatelock/src/policy/choice.rs
@@ -87,10 +87,9 @@
         for from in from {
             let begin = picks.len();
             self.backends.draw(from, ignore_ejection, &mut || roll(dice), picks);
-            let (drawn, of) = (&picks[begin..], self.backends.counts(from));
-            let some = drawn.len() < of.ready - of.ejected;
+            let drawn = &picks[begin..];
             for place in drawn {
-                let choice = self.candidate(now, held, *place, (work, warm_push, drawn.len(), some), dice);
+                let choice = self.candidate(now, held, *place, (work, warm_push, drawn.len()), dice);
                 best = match (best, choice) {
                     (Some(best), Some(choice)) if choice.before(&best) => Some(choice),
                     (best, choice) => best.or(choice),
@@ -103,14 +102,13 @@
         best
     }
 
-    /// What is expected of a candidate, one of so many that are all or only some of those there are; none if
-    /// nothing may be sent there.
+    /// What is expected of a candidate, one of so many that are drawn; none if nothing may be sent there.
     pub(super) fn candidate(
         &self,
         now: f64,
         held: &Held,
         place: usize,
-        (work, warm_push, drawn, some): (f64, f64, usize, bool),
+        (work, warm_push, drawn): (f64, f64, usize),
         dice: &mut u64,
     ) -> Option<Choice> {
         let noise = 1.0 + NOISE * roll(dice);
@@ -122,11 +120,12 @@
         let mut lucky = false;
         if warmth < 1.0 {
             let part = self.cold_part(warmth, self.backends.degree(), warm_push + work);
-            // Danger: a cold backend left idle as each gateway's part is under a request, or as one of those
-            // that are drawn with it is always faster. It gets the cold part of an even share by chance; the
-            // sum over gateways is the same.
+            // Danger: a cold backend left idle: each gateway's part is under a request; or it is drawn with
+            // one that is always faster; or it was slow with the first request after its start, or there is
+            // so little to do that a warm one is always free. It gets the cold part of an even share by
+            // chance, within its part; the sum over gateways is the same.
             let (little, within) = (part < work, pushed + work <= part);
-            lucky = (little || some && within) && roll(dice) * drawn as f64 <= warmth;
+            lucky = (little || within) && roll(dice) * drawn as f64 <= warmth;
             // Danger: gateways that it is no home of, each with a part of its own.
             if !self.backends.is_home(place) || !(within || little && lucky) {
                 return None;
--- a/crates/slatelock/src/policy/health.rs
+++ b/crates/slatelock/src/policy/health.rs
@@ -17,7 +17,7 @@
     pub(super) fn new(now: f64, entry: &BackendEntry, s: &Settings) -> Self {
         // Danger: a start that lies ahead, by another clock or in another unit, and a backend that is cold
         // until then. Harm: by a clock that goes a little before this one it is taken for that much warmer.
-        let (started, warm_up) = (entry.started_ms.min(now), s.slow_start.warm_up_ms);
+        let (started, warm_up) = (entry.cold_from_ms().min(now), s.slow_start.warm_up_ms);
         Backend { started, warm_up, entry: entry.clone(), ..Backend::default() }
     }
 
@@ -87,7 +87,7 @@
         let b = self.backends.get(place);
         if gone {
             self.backends.update(now, place, |b| b.entry.state = entry.state);
-        } else if entry.started_ms > b.entry.started_ms {
+        } else if entry.cold_from_ms() > b.entry.cold_from_ms() {
             // Danger: what was learned of the process before says nothing of this one.
             let new = Backend { out: b.out, heard: b.heard, ..Backend::new(now, entry, &self.settings) };
             self.backends.renew(now, place, new);
