Settings that change at SIGHUP: classes, effects, attempts, whole or not at all

Change: slatelock::terms, pure: a table of classes whose places keep their class while a request may hold it, keys that a file lacks against the one in force, what needs a restart. Open requests keep class and number of attempts.

--- a/crates/gateway/src/backends.rs
+++ b/crates/gateway/src/backends.rs
@@ -120,10 +120,15 @@
     pub connect_limit: Duration,
 }
 
+/// How long a connection may stand idle and be used again.
+fn idle_most(idle_close_ms: f64) -> Duration {
+    Duration::from_secs_f64((idle_close_ms * IDLE_PART / 1000.0).clamp(0.0, 3600.0))
+}
+
 impl Backends {
     /// Keeps at most so many connections in all.
     pub fn new(connections: usize, idle_close_ms: f64, connect_limit: Duration) -> Self {
-        let idle_most = Duration::from_secs_f64((idle_close_ms * IDLE_PART / 1000.0).clamp(0.0, 3600.0));
+        let idle_most = idle_most(idle_close_ms);
         Backends {
             pools: HashMap::new(),
             at: HashMap::new(),
@@ -136,6 +141,11 @@
         }
     }
 
+    /// Goes by other limits from now on; connections that stand have them at their next use.
+    pub fn limit(&mut self, idle_close_ms: f64, connect_limit: Duration) {
+        (self.idle_most, self.connect_limit) = (idle_most(idle_close_ms), connect_limit);
+    }
+
     /// Takes in a line of the list. Gives the backends that are not at its address any more, as one that
     /// started later is; the one of the line may be among them.
     pub fn update(&mut self, entry: &BackendEntry, address: SocketAddr) -> Vec<u32> {
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -7,8 +7,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use slatelock::interface::Settings;
-use slatelock::settings::Names;
+use slatelock::terms::Terms;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, watch, Notify, OwnedSemaphorePermit, Semaphore};
@@ -50,8 +49,8 @@
 /// What all client connections share.
 #[derive(Debug)]
 pub struct Clients {
-    pub settings: Settings,
-    pub names: Names,
+    /// What requests are read by.
+    pub terms: watch::Receiver<Arc<Terms>>,
     pub inbox: mpsc::Sender<Input>,
     /// Bytes of requests and answers that there may be yet.
     pub room: Arc<Semaphore>,
@@ -334,7 +333,8 @@
                     return;
                 }
             };
-            let owed = match Command::read(frame, &self.clients.settings, &self.clients.names) {
+            let terms = Arc::clone(&self.clients.terms.borrow());
+            let owed = match Command::read(frame, &terms.settings, &terms.names) {
                 Ok(Command::Ping) if *self.clients.drained.borrow() => Owed::Now(Answer::Drained),
                 Ok(Command::Ping) => Owed::Now(Answer::Pong),
                 Err(unknown) => Owed::Now(Answer::Unknown(unknown.0)),
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -8,8 +8,9 @@
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use serde_json::{Map, Value};
-use slatelock::interface::{Settings, SettingsError};
-use slatelock::settings::{self, Keys, Names};
+use slatelock::interface::SettingsError;
+use slatelock::settings::{self, Keys};
+use slatelock::terms::{self, Terms};
 
 use crate::listing::List;
 
@@ -36,10 +37,14 @@
     pub sockets: usize,
     pub memory_mb: usize,
     pub known: List,
-    pub settings: Settings,
-    pub names: Names,
+    pub terms: Terms,
+    /// The text of it but for `known`; a later one may lack none of its keys.
+    told: Value,
 }
 
+/// Keys that a later configuration may lack.
+const MAY_LACK: [&str; 2] = ["name", "management"];
+
 /// The text of a configuration. Danger: a list of thousands of backends as a tree of values, which takes ten
 /// times what the list does, and more than all else at the start.
 #[derive(Deserialize)]
@@ -78,7 +83,19 @@
 
     pub fn parse(text: &[u8]) -> Result<Config, SettingsError> {
         let (known, json) = Text::read(text)?;
-        Config::from(known, &Keys::new("configuration", &json))
+        let config = Config::from(known, &Keys::new("configuration", &json))?;
+        Ok(Config { told: json, ..config })
+    }
+
+    /// Whether this configuration has all the keys that one before it has.
+    ///
+    /// # Errors
+    /// The first that it lacks.
+    pub fn has_all_of(&self, before: &Config) -> Result<(), SettingsError> {
+        match terms::lacks(&before.told, &self.told, "configuration", &MAY_LACK) {
+            Some(field) => Err(SettingsError { field, problem: "missing; the file before has it" }),
+            None => Ok(()),
+        }
     }
 
     /// All that is wrong with a configuration, not the first alone.
@@ -137,8 +154,8 @@
             sockets: top.section("limits")?.whole("sockets")? as usize,
             memory_mb: top.section("limits")?.whole("memory_mb")? as usize,
             known: top.or(known, List::empty())?,
-            names: settings::names(&told)?,
-            settings,
+            terms: Terms { names: settings::names(&told)?, settings },
+            told: Value::Null,
         })
     }
 }
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -11,8 +11,9 @@
 use bytes::Bytes;
 use slatelock::interface::{Action, BackendEntry, Event, ListScope, Outcome, Readiness, Request};
 use slatelock::settings::Names;
+use slatelock::terms::Terms;
 use slatelock::Gateway;
-use tokio::sync::{mpsc, oneshot, Semaphore};
+use tokio::sync::{mpsc, oneshot, watch, Semaphore};
 use tokio::task::AbortHandle;
 use tokio::time::{interval, Instant};
 use tokio_util::time::delay_queue::{self, Expired};
@@ -84,6 +85,8 @@
     /// Bytes of requests and answers that there may be yet.
     pub room: Arc<Semaphore>,
     pub overseen: Overseen,
+    /// What requests are read by.
+    pub terms: watch::Sender<Arc<Terms>>,
 }
 
 /// The driver and all it owns.
@@ -91,6 +94,9 @@
     gateway: Gateway,
     clock: Clock,
     names: Names,
+    terms: watch::Sender<Arc<Terms>>,
+    /// Since when the class at a place is dropped, ms.
+    dropped: HashMap<usize, f64>,
     backends: Backends,
     roster: Roster,
     /// What operators want, and what they are told.
@@ -113,13 +119,16 @@
 }
 
 impl Driver {
-    pub fn new(gateway: Gateway, clock: Clock, names: Names, around: Around) -> Self {
-        let Around { backends, counter, inbox, room, overseen } = around;
+    pub fn new(gateway: Gateway, clock: Clock, around: Around) -> Self {
+        let Around { backends, counter, inbox, room, overseen, terms } = around;
+        let names = terms.borrow().names.clone();
         Driver {
             gateway,
             clock,
             load_fields: names.load_fields.clone().into(),
             names,
+            terms,
+            dropped: HashMap::new(),
             backends,
             roster: Roster::new(),
             overseen,
--- a/crates/gateway/src/driver/overseen.rs
+++ b/crates/gateway/src/driver/overseen.rs
@@ -1,12 +1,16 @@
 //! The driver's side that operators see: their orders are taken in here, and the state is told.
 
 use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
 
 use beechrudder_fleet::wire::{
     Applied, BackendState, Code, Fault, Figures, GatewayAsk, GatewaySay, GatewayState, Verdict, ORDERS_MOST,
 };
 use beechrudder_fleet::{Desired, OrderId, Subject};
 use beechrudder_maintenance::Book;
+use slatelock::interface::SettingsError;
+use slatelock::terms::Terms;
 use slatelock::BackendView;
 use tokio::sync::watch;
 use tokio_util::task::TaskTracker;
@@ -16,6 +20,9 @@
 use crate::order::Order;
 use crate::roster::Wanted;
 
+/// How long a request may be on its way from its reading to the decisions, ms.
+const READ_MS: f64 = 1_000.0;
+
 /// What operators want of this gateway, and what only the rest of the program knows of it.
 #[derive(Debug)]
 pub struct Overseen {
@@ -71,6 +78,7 @@
         match order {
             // Each answer fails only when whoever asked is gone.
             Order::Lists { id, say } => drop(say.send(self.roster.lists(&id))),
+            Order::Change { terms, say } => drop(say.send(self.change(&terms))),
             Order::Adopt { book, say } => {
                 self.adopt(book);
                 let _ = say.send(());
@@ -78,6 +86,30 @@
         }
     }
 
+    /// Goes by new settings, as far as they may change in service.
+    fn change(&mut self, new: &Terms) -> Result<(), SettingsError> {
+        let (now, held) = (self.clock.now_ms(), Arc::clone(&self.terms.borrow()));
+        let longest = held.settings.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
+        // Danger: a request that was read, and did not come here yet, with a class that has its place by
+        // then.
+        let free = |place: usize| {
+            let since = self.dropped.get(&place).copied().unwrap_or(now);
+            now - since > longest + READ_MS && !self.gateway.holds_class(place)
+        };
+        let terms = held.changed(new, free)?;
+        let name = |place: usize| terms.names.classes.get(place)?.as_ref();
+        let before = |place| held.names.classes.iter().position(|n| n.is_some() && n.as_ref() == name(place));
+        self.gateway.change(terms.settings.clone(), before);
+        self.dropped.retain(|place, _| terms.settings.classes[*place].dropped);
+        for (place, _) in terms.settings.classes.iter().enumerate().filter(|(_, c)| c.dropped) {
+            self.dropped.entry(place).or_insert(now);
+        }
+        let connect = Duration::from_secs_f64(terms.settings.limits.connect_timeout_ms / 1000.0);
+        self.backends.limit(terms.names.idle_close_ms, connect);
+        self.terms.send_replace(Arc::new(terms));
+        Ok(())
+    }
+
     /// Puts a book in force if it is newer than the one that is.
     pub fn adopt(&mut self, book: Book) {
         if book.newer_than(self.overseen.book.revision()) {
--- a/crates/gateway/src/resp.rs
+++ b/crates/gateway/src/resp.rs
@@ -190,7 +190,7 @@
         for term in text.split(',') {
             let (name, value) = term.split_once('=').ok_or(Unknown("bad terms"))?;
             match name {
-                "c" => class = names.classes.iter().position(|n| n == value),
+                "c" => class = names.classes.iter().position(|n| n.as_deref() == Some(value)),
                 "t" => plan = names.plans.iter().position(|n| n == value),
                 "d" => wait = whole(value, 1..=WAIT_MOST_MS).map(|ms| (ms, value)),
                 "k" => key = !value.is_empty(),
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -12,7 +12,7 @@
 use slatelock::Gateway;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
-use tokio::sync::{mpsc, watch, Semaphore};
+use tokio::sync::{mpsc, oneshot, watch, Semaphore};
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::{AbortOnDropHandle, TaskTracker};
@@ -28,7 +28,9 @@
 use crate::folder::Folder;
 use crate::input::Input;
 use crate::keeper::{Keeper, Stage};
+use crate::listing::List;
 use crate::management;
+use crate::order::Order;
 
 /// Descriptors for all but clients and backends: the runtime, the log, and the counter and discovery twice,
 /// as the old connections may still stand when a new configuration names others.
@@ -59,30 +61,51 @@
 /// How long the last answers may take to be written.
 const LAST_ANSWERS: Duration = Duration::from_millis(200);
 
-/// Follows discovery, and at each SIGHUP goes over to the discovery and the counter that the file names
-/// by then. Danger: a file that can't be used; the old addresses stay. All else is read at the start alone.
+/// Follows discovery, and at each SIGHUP goes over to what the file names by then: discovery, the counter,
+/// and the settings that may change in service. Danger: a file that can't be used, or half of one. It is
+/// turned down whole, and the configuration held stays.
 async fn follow(
     path: PathBuf,
     mut hangup: Signal,
-    mut now: Peers,
+    mut config: Config,
     wait: Duration,
     known: Known,
     inbox: mpsc::Sender<Input>,
+    orders: mpsc::Sender<Order>,
 ) {
     let watch = |agent, known| {
         AbortOnDropHandle::new(tokio::spawn(discovery::follow::<Input>(agent, known, inbox.clone())))
     };
     // Another discovery has versions of its own.
     let elsewhere = Known { index: None, ..known };
+    let mut now = config.peers;
     let mut watching = watch(now.discovery, known);
     while hangup.recv().await.is_some() {
-        let new = match Config::read(&path) {
-            Ok(config) => config.peers,
+        let read = Config::read(&path).and_then(|new| Ok(new.has_all_of(&config).map(|()| new)?));
+        let new = match read {
+            Ok(new) => new,
             Err(e) => {
                 tracing::warn!("SIGHUP: {e}; the old configuration stays");
                 continue;
             }
         };
+        let (say, said) = oneshot::channel();
+        let change = Order::Change { terms: Box::new(new.terms.clone()), say };
+        // Fails only when the gateway ends.
+        if orders.send(change).await.is_err() {
+            return;
+        }
+        if let Ok(Err(e)) = said.await {
+            tracing::warn!("SIGHUP: {e}; the old configuration stays");
+            continue;
+        }
+        let restart = config.terms.need_restart(&new.terms);
+        tracing::info!("SIGHUP: the new configuration is in force");
+        if !restart.is_empty() {
+            tracing::warn!("SIGHUP: {} differ and need a restart", restart.join("; "));
+        }
+        config = new;
+        let new = config.peers;
         if new.discovery != now.discovery {
             watching.abort();
             watching = watch(new.discovery, elsewhere);
@@ -127,9 +150,11 @@
 }
 
 /// Serves until SIGTERM has been carried out.
-pub async fn serve(config: Config, path: PathBuf, operator: Operator) -> Result<(), String> {
-    let Config { name, listen, management, peers, seed, sockets, memory_mb, known, mut settings, names } =
-        config;
+pub async fn serve(mut config: Config, path: PathBuf, operator: Operator) -> Result<(), String> {
+    let Config { listen, management, peers, seed, sockets, memory_mb, .. } = config;
+    let (name, mut terms) = (config.name.clone(), config.terms.clone());
+    let known = std::mem::replace(&mut config.known, List::empty());
+    let settings = &mut terms.settings;
     let Operator { admin, routing, .. } = operator;
     let beechrudder_operator::Routing { whole, choices, subset, coverage } = routing;
     settings.routing = Routing { whole, choices, subset, coverage };
@@ -156,39 +181,38 @@
     let wait = Duration::from_secs_f64(settings.counter_timeout_ms / 1000.0);
     let counter = peers.counter.map(|address| Counter::start(address, wait, &inbox));
     let connect_limit = Duration::from_secs_f64(settings.limits.connect_timeout_ms / 1000.0);
-    let backends = Backends::new(places, names.idle_close_ms, connect_limit);
+    let backends = Backends::new(places, terms.names.idle_close_ms, connect_limit);
     let room = Arc::new(Semaphore::new((memory_mb << 20) / ROOM_PART));
     let (tasks, (drain, drained)) = (TaskTracker::new(), watch::channel(false));
     let overseen = Overseen::new(name.clone(), boot, tasks.clone(), drain);
     let (asks, bytes) = (inbox.clone(), Arc::clone(&room));
-    let around = Around { backends, counter, inbox: asks, room: bytes, overseen };
-    let mut driver = Driver::new(gateway, clock, names.clone(), around);
-    let shared = management.and_then(|_| folder(listen, boot));
     let warm_up_ms = settings.slow_start.warm_up_ms;
-    let keeper = Keeper::new(shared, clock, warm_up_ms, stage.clone(), orders);
+    let gateways = settings.gateways;
+    let (changes, terms) = watch::channel(Arc::new(terms));
+    let around = Around { backends, counter, inbox: asks, room: bytes, overseen, terms: changes };
+    let mut driver = Driver::new(gateway, clock, around);
+    let shared = management.and_then(|_| folder(listen, boot));
+    let keeper = Keeper::new(shared, clock, warm_up_ms, stage.clone(), orders.clone());
     // Danger: a ban from before that begins only after the first requests.
     driver.adopt(keeper.book());
     tokio::spawn(keeper.run(called));
     // Danger: each start of a large fleet asks for the whole list, of which it has all but the last changes.
     let index = Some(known.index).filter(|_| !known.endpoints.is_empty());
-    let held = Known { index, gateways: settings.gateways, seed };
+    let held = Known { index, gateways, seed };
     // Ready with the list as it is now, if it is told soon; with none at all that is worth a longer wait.
     let first = if index.is_some() { FIRST_NEWS } else { FIRST_LIST };
     discovery::name_wrong("known", &known);
     let unsaid = Vec::new();
     driver.take(Input::List(News { scope: ListScope::Cached, endpoints: known.endpoints, unsaid }));
-    tokio::spawn(follow(path, hangup, peers, wait, held, inbox.clone()));
+    tokio::spawn(follow(path, hangup, config, wait, held, inbox.clone(), orders));
     if let Ok(Some(first)) = timeout(first, queue.recv()).await {
         driver.take(first);
     }
     tokio::spawn(driver.run(queue, ordered));
 
-    let deadline_ms = settings.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
-    let drain = Duration::from_secs_f64(deadline_ms.min(DRAIN_MOST_MS) / 1000.0) + DRAIN_MORE;
     let closing = CancellationToken::new();
     let clients = Arc::new(Clients {
-        settings,
-        names,
+        terms: terms.clone(),
         inbox: inbox.clone(),
         room,
         last: AtomicU64::new(0),
@@ -212,6 +236,8 @@
     stage.serves();
     terminate.recv().await;
     stage.ends();
+    let deadline_ms = terms.borrow().settings.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
+    let drain = Duration::from_secs_f64(deadline_ms.min(DRAIN_MOST_MS) / 1000.0) + DRAIN_MORE;
     let end = Instant::now() + drain;
     sleep(drain.saturating_sub(CLOSING).max(ACCEPT_ON.min(drain))).await;
     accepting.abort();
--- /dev/null
+++ b/crates/gateway/tests/settings.rs
@@ -0,0 +1,149 @@
+//! Settings that change while the built gateway serves, on loopback sockets.
+
+#[path = "support/net.rs"]
+mod net;
+
+use std::time::Instant;
+
+use net::*;
+use serde_json::{json, Value};
+
+/// A file with one more class, named `new`, that is safe.
+fn with_class(config: &Value) -> Value {
+    let mut config = config.clone();
+    let mut class = config["settings"]["profiles"][0].clone();
+    class["name"] = json!("new");
+    config["settings"]["profiles"].as_array_mut().expect("a list").push(class);
+    config
+}
+
+/// Has the file read, and waits until the log says what became of it.
+fn configure(rig: &mut Rig, text: &str) -> String {
+    rig.gateway.configure(text);
+    loop {
+        let line = rig.gateway.logged();
+        if line.contains("SIGHUP") {
+            return line;
+        }
+    }
+}
+
+/// Asks once, and gives the answer if there is one without a backend.
+fn ask(rig: &Rig, client: &mut Client, id: u64, class: &str) -> String {
+    let mut words_of = call(id, "safe", "free", 1, 8000);
+    words_of[3] = words_of[3].replace("c=safe", &format!("c={class}"));
+    client.send(&words(&words_of));
+    let start = Instant::now();
+    loop {
+        assert!(start.elapsed() < PATIENCE, "no answer");
+        for backend in &rig.backends {
+            if let Some(mut arrived) = backend.taken() {
+                arrived.serve("fine");
+                return client.read();
+            }
+        }
+        if let Some(answer) = client.try_read() {
+            return answer;
+        }
+    }
+}
+
+#[test]
+fn a_class_is_added_and_dropped_and_open_requests_keep_theirs() {
+    let mut rig = Rig::with(1, |_| {});
+    let mut client = rig.gateway.client();
+    assert!(ask(&rig, &mut client, 1, "new").starts_with("-ERR unknown class"));
+    let (with, without) = (with_class(&rig.config), rig.config.clone());
+    assert!(configure(&mut rig, &with.to_string()).contains("in force"));
+    assert_eq!(ask(&rig, &mut client, 2, "new"), "fine");
+    // One is open while its class is dropped.
+    let mut open = rig.gateway.client();
+    let mut words_of = call(3, "safe", "free", 1, 8000);
+    words_of[3] = words_of[3].replace("c=safe", "c=new");
+    open.send(&words(&words_of));
+    let (_, mut arrived) = rig.next();
+    assert!(configure(&mut rig, &without.to_string()).contains("in force"));
+    assert!(ask(&rig, &mut client, 4, "new").starts_with("-ERR unknown class"));
+    arrived.say("-ERR failed\r\n");
+    // Safe to repeat, as it was when it came: another attempt.
+    let (_, mut again) = rig.next();
+    again.serve("fine");
+    assert_eq!(open.read(), "fine");
+}
+
+#[test]
+fn the_number_of_attempts_binds_from_then_on_and_not_before() {
+    let mut rig = Rig::with(2, |_| {});
+    let (mut before, mut after) = (rig.gateway.client(), rig.gateway.client());
+    before.send(&words(&call(1, "safe", "free", 1, 8000)));
+    let (_, mut first) = rig.next();
+    let mut one = rig.config.clone();
+    one["settings"]["policy-limits"]["max-attempts"] = json!(1);
+    assert!(configure(&mut rig, &one.to_string()).contains("in force"));
+    first.say("-ERR failed\r\n");
+    let (_, mut second) = rig.next();
+    second.serve("fine");
+    assert_eq!(before.read(), "fine");
+    after.send(&words(&call(2, "safe", "free", 1, 8000)));
+    let (_, mut only) = rig.next();
+    only.say("-ERR failed\r\n");
+    assert!(after.read().starts_with('-'), "no second attempt");
+    assert!(rig.idle());
+}
+
+#[test]
+fn a_class_whose_effect_changes_binds_the_requests_that_come_after() {
+    let mut rig = Rig::with(2, |_| {});
+    let mut client = rig.gateway.client();
+    let mut other = rig.config.clone();
+    other["settings"]["profiles"][2]["effect"] = json!("idempotency_key");
+    other["settings"]["profiles"][2]["group"] = json!("all");
+    assert!(configure(&mut rig, &other.to_string()).contains("in force"));
+    let mut words_of = call(1, "unsafe", "free", 1, 8000);
+    words_of[3] += ",k=5c0f6e1a2b3d4c59";
+    client.send(&words(&words_of));
+    let (_, mut first) = rig.next();
+    first.say("-ERR failed\r\n");
+    let (_, mut second) = rig.next();
+    second.serve("fine");
+    assert_eq!(client.read(), "fine");
+}
+
+#[test]
+fn files_that_are_wrong_anywhere_are_turned_down_whole() {
+    let mut rig = Rig::with(1, |_| {});
+    let mut client = rig.gateway.client();
+    let good = with_class(&rig.config);
+    let mut wrong: Vec<(String, &str)> = vec![(String::new(), "not JSON"), ("{}".to_string(), "missing")];
+    let text = good.to_string();
+    for part in 1..12 {
+        wrong.push((text[..text.len() * part / 12].to_string(), "not JSON"));
+    }
+    let mut change = |place: &str, value: Value, why: &'static str| {
+        let mut file = good.clone();
+        *file.pointer_mut(place).expect("a key") = value;
+        wrong.push((file.to_string(), why));
+    };
+    change("/settings/profiles/1/deadline-ms", json!(0), "classes[1]");
+    change("/settings/profiles/1/deadline-ms", json!(-5), "classes[1]");
+    change("/settings/profiles/1/deadline-ms", json!("soon"), "profiles[1].deadline-ms");
+    change("/settings/policy-limits/max-attempts", json!(0), "max_attempts");
+    change("/settings/policy-limits/max-attempts", json!(-1), "max-attempts");
+    change("/settings/profiles/3/name", json!("safe"), "one name");
+    for (section, key) in [("/settings/profiles/3", "aim-ms"), ("/settings", "prices"), ("/limits", "cores")]
+    {
+        let mut file = good.clone();
+        file.pointer_mut(section).and_then(Value::as_object_mut).expect("a section").remove(key);
+        wrong.push((file.to_string(), key));
+    }
+    let nan = text.replacen("4000.0", "NaN", 1);
+    let huge = text.replacen("4000.0", "1e400", 1);
+    wrong.extend([(nan, "not JSON"), (huge, "not JSON")]);
+    for (id, (file, why)) in (1..).zip(wrong) {
+        let line = configure(&mut rig, &file);
+        assert!(line.contains(why) && line.contains("stays"), "{why}: {line}");
+        assert!(ask(&rig, &mut client, id, "new").starts_with("-ERR unknown class"));
+    }
+    assert!(configure(&mut rig, &text).contains("in force"));
+    assert_eq!(ask(&rig, &mut client, 900, "new"), "fine");
+}
--- a/crates/slatelock/src/interface.rs
+++ b/crates/slatelock/src/interface.rs
@@ -27,7 +27,7 @@
 }
 
 /// A class of request.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     /// An answer within this time earns the full worth.
     pub aim_ms: f64,
@@ -45,10 +45,20 @@
     pub window_ms: f64,
     /// Whether answers are streamed.
     pub streaming: bool,
+    /// New settings dropped it: no request comes with it any more, and open ones keep it.
+    pub dropped: bool,
+}
+
+impl Class {
+    /// Whether two are one class, whether or not either was dropped.
+    #[must_use]
+    pub fn same_rules(&self, other: &Class) -> bool {
+        *self == Class { dropped: self.dropped, ..other.clone() }
+    }
 }
 
 /// A plan: quotas that hold for each customer over all gateways together. Zero means no such limit.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Plan {
     /// Units a second.
     pub rate: f64,
--- a/crates/slatelock/src/lib.rs
+++ b/crates/slatelock/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod settings;
 mod state;
 mod store;
+#[cfg(feature = "settings")]
+pub mod terms;
 mod view;
 
 pub use policy::Gateway;
--- a/crates/slatelock/src/policy/choice.rs
+++ b/crates/slatelock/src/policy/choice.rs
@@ -172,7 +172,7 @@
         let may_have_run = || held.attempts.iter().filter(|a| a.may_have_run);
         if to.is_some() {
             let pending = held.attempts.iter().any(|a| a.pending);
-            let spent = held.attempts.len() >= self.settings.limits.max_attempts as usize;
+            let spent = held.attempts.len() >= held.most as usize;
             if held.done || held.streaming || spent || (pending && !self.settings.limits.hedges) {
                 return false;
             }
--- a/crates/slatelock/src/policy/health.rs
+++ b/crates/slatelock/src/policy/health.rs
@@ -238,7 +238,7 @@
                 let relative = self.relative(units);
                 self.class_latency[class].add(latency / scale, relative, KEEP.2);
                 self.class_work[class] += (1.0 - KEEP.1) * (work - self.class_work[class]);
-                let classes = self.settings.classes.iter().zip(&self.class_work);
+                let classes = self.settings.classes.iter().zip(&self.class_work).filter(|(c, _)| !c.dropped);
                 let tightest = classes.map(|(c, w)| c.aim_ms / w).fold(f64::MAX, f64::min) / self.fleet.calm;
                 self.fleet.bearable = (tightest * HEADROOM).max(LEAST_BEARABLE);
                 self.fleet.mean_work += (1.0 - KEEP.1) * (work - self.fleet.mean_work);
--- a/crates/slatelock/src/policy/mod.rs
+++ b/crates/slatelock/src/policy/mod.rs
@@ -80,6 +80,21 @@
     retry_budget: f64,
 }
 
+/// Latency of a mean request of a class on an idle backend before any was seen.
+fn unseen(class: &Class) -> f64 {
+    class.aim_ms * UNSEEN_LATENCY
+}
+
+fn unseen_latency(class: &Class) -> Ratio {
+    Ratio { seen: unseen(class) * UNSEEN_WEIGHT, expected: UNSEEN_WEIGHT }
+}
+
+/// The longest aim and deadline of all classes.
+fn longest(settings: &Settings) -> (f64, f64) {
+    let of = |time: fn(&Class) -> f64| settings.classes.iter().map(time).fold(1.0, f64::max);
+    (of(|c| c.aim_ms), of(|c| c.deadline_ms))
+}
+
 impl Gateway {
     /// A gateway that starts at `now` with nothing known.
     ///
@@ -87,19 +102,16 @@
     /// A [`SettingsError`] if the settings can't be worked with.
     pub fn new(settings: Settings, seed: u64, now: f64) -> Result<Self, SettingsError> {
         settings.check()?;
-        let unseen = |c: &Class| c.aim_ms * UNSEEN_LATENCY;
-        let prior = |c: &Class| Ratio { seen: unseen(c) * UNSEEN_WEIGHT, expected: UNSEEN_WEIGHT };
         let class_work: Vec<f64> = settings.classes.iter().map(unseen).collect();
         let (mean_work, bearable) = (class_work[0], HEADROOM / UNSEEN_LATENCY);
         let r = &settings.routing;
         let subset = Subset::new(settings.me, settings.gateways, r.subset, r.coverage);
         let reach = Reach { whole: r.whole, choices: r.choices };
-        let longest = |time: fn(&Class) -> f64| settings.classes.iter().map(time).fold(1.0, f64::max);
         Ok(Gateway {
             customers: Records::new(settings.customers),
             backends: Index::new(subset, reach, settings.slow_start.overload_for_ms),
-            longest: (longest(|c| c.aim_ms), longest(|c| c.deadline_ms)),
-            class_latency: settings.classes.iter().map(prior).collect(),
+            longest: longest(&settings),
+            class_latency: settings.classes.iter().map(unseen_latency).collect(),
             class_work,
             cheap: Ratio::default(),
             mean_units: Ratio::default(),
@@ -120,6 +132,37 @@
         })
     }
 
+    /// Goes by other classes, bounds and figures on cold backends from now on. A class at the place that it
+    /// had before is the same one; what was learned of a class that changed goes with its name, which
+    /// `before` tells as the place of each that is new. Open requests keep the class and the attempts they
+    /// came with.
+    pub fn change(&mut self, settings: Settings, before: impl Fn(usize) -> Option<usize>) {
+        let known = self.settings.classes.len();
+        for (place, class) in settings.classes.iter().enumerate() {
+            if self.settings.classes.get(place).is_some_and(|old| old.same_rules(class)) {
+                continue;
+            }
+            let (latency, work) = match before(place).filter(|old| *old < known) {
+                Some(old) => (self.class_latency[old], self.class_work[old]),
+                None => (unseen_latency(class), unseen(class)),
+            };
+            if place < self.class_latency.len() {
+                (self.class_latency[place], self.class_work[place]) = (latency, work);
+            } else {
+                self.class_latency.push(latency);
+                self.class_work.push(work);
+            }
+        }
+        self.longest = longest(&settings);
+        self.settings = settings;
+    }
+
+    /// Whether a request that is open came with the class at a place.
+    #[must_use]
+    pub fn holds_class(&self, place: usize) -> bool {
+        self.requests.values().any(|held| held.request.class == place)
+    }
+
     /// The request that a timer is for, if any. When that has its final answer and no attempt out, the
     /// timer need not ring.
     #[must_use]
@@ -193,7 +236,8 @@
         self.watch_silence(now, actions);
         let at_ms = request.expires_ms - self.settings.tick_ms;
         actions.push(Action::Timer { token: id << 2 | DEADLINE, at_ms: at_ms.max(now) });
-        self.requests.insert(id, Held { request, ..Held::default() });
+        let most = self.settings.limits.max_attempts;
+        self.requests.insert(id, Held { request, most, ..Held::default() });
         self.admit(now, id, actions);
     }
 
--- a/crates/slatelock/src/settings.rs
+++ b/crates/slatelock/src/settings.rs
@@ -32,8 +32,8 @@
 /// How the settings name what the decisions know by number, and what they leave to the program.
 #[derive(Clone, Debug)]
 pub struct Names {
-    /// Classes, by index.
-    pub classes: Vec<String>,
+    /// Classes, by index; none where the class was dropped and open requests may still hold it.
+    pub classes: Vec<Option<String>>,
     /// Plans, by index.
     pub plans: Vec<String>,
     /// Zones, by index.
@@ -50,8 +50,12 @@
 /// A [`SettingsError`] that names what is missing or of the wrong kind.
 pub fn names(top: &Keys<'_>) -> Result<Names, SettingsError> {
     let named = |keys: &Keys<'_>| keys.text("name").map(str::to_string);
+    let classes = top.each("profiles", named)?;
+    // Danger: two classes of one name, of which requests go by either.
+    let twice = classes.iter().enumerate().any(|(i, name)| classes[..i].contains(name));
+    top.or(if twice { Err(top.wrong("profiles", "two have one name")) } else { Ok(()) }, ())?;
     Ok(Names {
-        classes: top.each("profiles", named)?,
+        classes: classes.into_iter().map(Some).collect(),
         plans: top.each("tariffs", named)?,
         zones: top.each("zones", |keys| keys.word().map(str::to_string))?,
         load_fields: top.section("feedback")?.each("fields", |keys| keys.word().map(str::to_string))?,
@@ -126,6 +130,7 @@
         },
         window_ms: keys.number("window-ms")?,
         streaming: keys.flag("streaming")?,
+        dropped: false,
     })
 }
 
--- a/crates/slatelock/src/state.rs
+++ b/crates/slatelock/src/state.rs
@@ -25,6 +25,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Held {
     pub(crate) request: Request,
+    /// Attempts that it may have.
+    pub(crate) most: u32,
     pub(crate) charge: f64,
     /// What was told beside the charge for others that were not, or below 0, what was not told of it.
     pub(crate) beside: f64,
--- a/crates/slatelock/tests/support/mod.rs
+++ b/crates/slatelock/tests/support/mod.rs
@@ -18,6 +18,7 @@
         group,
         window_ms: 500.0,
         streaming: false,
+        dropped: false,
     };
     let plan = Plan { rate: 2.0, burst: 16.0, value: 1.0, ..Plan::default() };
     Settings {
--- a/crates/testbed/src/rig/world.rs
+++ b/crates/testbed/src/rig/world.rs
@@ -132,6 +132,7 @@
         group: Group::Cell,
         window_ms: 5_000.0,
         streaming: false,
+        dropped: false,
     };
     let routing = match shape.chooser {
         Chooser::Whole => {
--- a/crates/testbed/src/scripted.rs
+++ b/crates/testbed/src/scripted.rs
@@ -330,6 +330,15 @@
         message(&mut self.stream).map_or("(end)".to_string(), |words| words.concat())
     }
 
+    /// The next answer, if something has come within 2 ms.
+    pub fn try_read(&mut self) -> Option<String> {
+        let short = Some(Duration::from_millis(2));
+        self.stream.get_ref().set_read_timeout(short).expect("a time-out");
+        let some = self.stream.fill_buf().is_ok_and(|bytes| !bytes.is_empty());
+        self.stream.get_ref().set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        some.then(|| self.read())
+    }
+
     /// Asks on a connection that the gateway may be about to close.
     pub fn ask_or_end(&mut self, words: &[&str]) -> String {
         match self.stream.get_mut().write_all(&command(words)) {
