Long values pass through as they come; slowness by the first byte of an answer

Ruled out: CPU (0.3 s), descriptors (69 of 1,024), memory (1 MB of 48).

Change: values of more than 64 KiB go on in pieces of 8 KiB with back-pressure, 32 KiB each of a quarter of the memory; an answer may pause for 250 ms, and not take 250 ms in all; latency is that to the first byte.

--- a/crates/gateway/src/backends.rs
+++ b/crates/gateway/src/backends.rs
@@ -1,11 +1,12 @@
 //! Pools of connections to backends, and exchanges on them: one request at a time on each.
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use redis_protocol::resp2::types::BytesFrame;
 use slatelock::interface::{BackendEntry, Outcome, Readiness};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -13,13 +14,15 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::{timeout, timeout_at, Instant};
 
-use crate::resp;
+use crate::long::{Passing, PIECE_MOST, SILENT_MOST};
+use crate::resp::{self, Lead};
 
 /// Part of the idle time that a backend allows after which a connection is not used again: the
 /// backend's clock began earlier than the gateway's.
 const IDLE_PART: f64 = 0.8;
-/// How long an answer that has begun may take to come whole. Danger: a spoilt one that never ends holds the
-/// request until its time is up.
+/// How long an answer that has begun may pause. Peers write in pieces, and may take seconds for all of them.
+const PAUSE_MOST: Duration = Duration::from_millis(250);
+/// How long what stands behind a value that was passed on may take.
 const WHOLE_MOST: Duration = Duration::from_millis(250);
 /// The most connections to one backend. More requests than that would only wait there.
 const CONNECTIONS_MOST: usize = 160;
@@ -287,11 +290,13 @@
         open && self.buffer.is_empty() && now.duration_since(self.idle_since) < idle_most
     }
 
-    /// Writes a call or a probe and reads its answer. The connection comes back if it can be used again.
-    pub async fn exchange(
+    /// Writes a call or a probe and reads its answer. The connection comes back if it can be used again. What
+    /// comes first is told to `begins`: a value that is too long to be held whole has to be taken there.
+    pub async fn exchange<B: Future<Output = Option<Passing>>>(
         mut self,
         request: Bytes,
         until: Instant,
+        begins: impl FnOnce(Option<usize>) -> B,
         read: impl FnOnce(BytesFrame) -> Option<Reply>,
     ) -> (Reply, Option<Connection>) {
         match timeout_at(until, self.stream.write_all(&request)).await {
@@ -299,7 +304,28 @@
             Ok(Err(_)) | Err(_) => return (Reply::failed(Outcome::ConnectFailed), None),
         }
         drop(request);
-        let frame = match timeout_at(until, self.answer()).await {
+        let lead = match timeout_at(until, self.lead()).await {
+            Ok(Ok(lead)) => lead,
+            Ok(Err(outcome)) => return (Reply::failed(outcome), None),
+            Err(_) => return (Reply::failed(Outcome::Timeout), None),
+        };
+        let passed = if let Lead::Long { parts, length, head } = lead {
+            let Some(passing) = begins(Some(length)).await else {
+                return (Reply::failed(Outcome::Cancelled), None);
+            };
+            self.buffer.advance(head);
+            self.pass(passing).await.and_then(|()| resp::rest(parts).ok_or(Outcome::Error))
+        } else {
+            begins(None).await;
+            Ok(resp::WHOLE)
+        };
+        let answer = match passed {
+            Ok(put_before) => {
+                timeout_at(until.max(Instant::now() + WHOLE_MOST), self.whole(put_before)).await
+            }
+            Err(outcome) => return (Reply::failed(outcome), None),
+        };
+        let frame = match answer {
             Ok(Ok(frame)) => frame,
             Ok(Err(outcome)) => return (Reply::failed(outcome), None),
             Err(_) => return (Reply::failed(Outcome::Timeout), None),
@@ -311,24 +337,58 @@
         }
     }
 
-    async fn answer(&mut self) -> Result<BytesFrame, Outcome> {
+    /// Waits until it shows how the answer begins.
+    async fn lead(&mut self) -> Result<Lead, Outcome> {
         self.more().await?;
-        match timeout(WHOLE_MOST, self.whole()).await {
-            Ok(Ok(frame)) => {
-                // The rest of the room stays with the frame.
-                self.buffer = BytesMut::from(&self.buffer[..]);
-                Ok(frame)
+        loop {
+            match resp::lead(&self.buffer) {
+                // Danger: a spoilt one that never ends holds the request until its time is up.
+                Lead::Unknown => self.more_soon().await?,
+                lead => return Ok(lead),
             }
-            Ok(Err(outcome)) => Err(outcome),
-            Err(_) => Err(Outcome::Error),
         }
     }
 
-    async fn whole(&mut self) -> Result<BytesFrame, Outcome> {
+    /// More of an answer that has begun.
+    async fn more_soon(&mut self) -> Result<(), Outcome> {
+        timeout(PAUSE_MOST, self.more()).await.unwrap_or(Err(Outcome::Error))
+    }
+
+    /// Passes a value on as it comes.
+    async fn pass(&mut self, mut to: Passing) -> Result<(), Outcome> {
+        loop {
+            while to.left() > 0 && !self.buffer.is_empty() {
+                if !to.pass(&mut self.buffer).await {
+                    return Err(Outcome::Cancelled);
+                }
+            }
+            if to.left() == 0 {
+                return Ok(());
+            }
+            // Danger: a buffer that grows by what nobody takes yet.
+            self.buffer = BytesMut::with_capacity(PIECE_MOST);
+            match timeout(SILENT_MOST, self.stream.read_buf(&mut self.buffer)).await {
+                Ok(Ok(n)) if n > 0 => {}
+                _ => return Err(Outcome::Reset),
+            }
+        }
+    }
+
+    /// The whole answer. Of one whose value was passed on, what came before that stands in.
+    async fn whole(&mut self, before: &[u8]) -> Result<BytesFrame, Outcome> {
+        if !before.is_empty() {
+            let mut buffer = BytesMut::from(before);
+            buffer.extend_from_slice(&self.buffer);
+            self.buffer = buffer;
+        }
         loop {
             match resp::next(&mut self.buffer) {
-                Ok(Some(frame)) => return Ok(frame),
-                Ok(None) => self.more().await?,
+                Ok(Some(frame)) => {
+                    // The rest of the room stays with the frame.
+                    self.buffer = BytesMut::from(&self.buffer[..]);
+                    return Ok(frame);
+                }
+                Ok(None) => self.more_soon().await?,
                 Err(_) => return Err(Outcome::Error),
             }
         }
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -17,6 +17,7 @@
 
 use crate::input::Input;
 use crate::keep::Use;
+use crate::long::Long;
 use crate::resp::{self, Answer, Command};
 
 /// Commands of one connection that may wait for their answers; more are not read.
@@ -216,11 +217,17 @@
         let mut timer = pin!(sleep(Use::Silent.most()));
         loop {
             self.commands(&mut input).await;
-            self.ready(&mut output);
+            let long = self.ready(&mut output);
             if !output.is_empty() {
-                match timeout(WRITE_MOST, self.stream.write_all(&output)).await {
-                    Ok(Ok(())) => empty(&mut output),
-                    _ => return,
+                if !self.write(&output).await {
+                    return;
+                }
+                empty(&mut output);
+                // Danger: a value that can't be finished, taken for a whole one. The connection ends with it.
+                if let Some(long) = long {
+                    if !self.pass(long).await {
+                        return;
+                    }
                 }
                 // There may be more answers, and room for commands that came already.
                 if !input.is_empty() || !self.owed.is_empty() {
@@ -357,21 +364,54 @@
         }
     }
 
-    /// Appends the answers that are there and have none before them.
-    fn ready(&mut self, output: &mut BytesMut) {
+    /// Appends the answers that are there and have none before them. Of a value that comes in pieces, the
+    /// last that is appended, the head alone.
+    fn ready(&mut self, output: &mut BytesMut) -> Option<Long> {
         while output.len() < BUFFER_MOST {
-            let Some(owed) = self.owed.pop_front() else { return };
-            match owed {
-                Owed::Now(answer) => answer.put(output),
+            let answer = match self.owed.pop_front()? {
+                Owed::Now(answer) => answer,
                 Owed::Later(id, mut later) => match later.try_recv() {
-                    Ok(answer) => answer.put(output),
-                    Err(oneshot::error::TryRecvError::Closed) => Answer::Failed.put(output),
+                    Ok(answer) => answer,
+                    Err(oneshot::error::TryRecvError::Closed) => Answer::Failed,
                     Err(oneshot::error::TryRecvError::Empty) => {
-                        return self.owed.push_front(Owed::Later(id, later));
+                        self.owed.push_front(Owed::Later(id, later));
+                        return None;
                     }
                 },
+            };
+            match answer {
+                Answer::Long(long) => {
+                    long.head(output);
+                    return Some(long);
+                }
+                answer => answer.put(output),
+            }
+        }
+        None
+    }
+
+    /// Writes the pieces of a value as they come; tells whether it is whole.
+    async fn pass(&mut self, mut long: Long) -> bool {
+        let mut left = long.length;
+        while let Some(piece) = long.pieces.recv().await {
+            left = left.saturating_sub(piece.len());
+            if !self.write(&piece).await {
+                return false;
+            }
+        }
+        left == 0 && self.write(b"\r\n").await
+    }
+
+    /// Writes; tells whether the client took it. Danger: a client that takes nothing for good. One that is
+    /// slow but takes some goes on.
+    async fn write(&mut self, mut bytes: &[u8]) -> bool {
+        while !bytes.is_empty() {
+            match timeout(WRITE_MOST, self.stream.write(bytes)).await {
+                Ok(Ok(n)) if n > 0 => bytes = &bytes[n..],
+                _ => return false,
             }
         }
+        true
     }
 
     /// Danger: a command that came just before the connection closes. Reads what is there.
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -25,6 +25,7 @@
 use crate::discovery::News;
 use crate::input::{Due, Input, Key};
 use crate::listing::{Endpoint, Status};
+use crate::long::Long;
 use crate::order::Order;
 use crate::resp::{Answer, Call};
 use crate::roster::{Roster, Wanted};
@@ -66,6 +67,8 @@
     backend: u32,
     sent_ms: f64,
     expires_ms: f64,
+    /// When its answer began to come.
+    began_ms: Option<f64>,
     phase: Phase,
 }
 
@@ -84,6 +87,8 @@
     pub inbox: mpsc::Sender<Input>,
     /// Bytes of requests and answers that there may be yet.
     pub room: Arc<Semaphore>,
+    /// The same of values that are passed on as they come.
+    pub passing: Arc<Semaphore>,
     pub overseen: Overseen,
     /// What requests are read by.
     pub terms: watch::Sender<Arc<Terms>>,
@@ -113,6 +118,8 @@
     inbox: mpsc::Sender<Input>,
     /// Bytes of requests and answers that there may be yet.
     room: Arc<Semaphore>,
+    /// The same of values that are passed on as they come.
+    passing: Arc<Semaphore>,
     /// What follows from actions at once.
     next: VecDeque<Input>,
     actions: Vec<Action>,
@@ -120,7 +127,7 @@
 
 impl Driver {
     pub fn new(gateway: Gateway, clock: Clock, around: Around) -> Self {
-        let Around { backends, counter, inbox, room, overseen, terms } = around;
+        let Around { backends, counter, inbox, room, passing, overseen, terms } = around;
         let names = terms.borrow().names.clone();
         Driver {
             gateway,
@@ -141,6 +148,7 @@
             timers: DelayQueue::new(),
             inbox,
             room,
+            passing,
             next: VecDeque::new(),
             actions: Vec::new(),
         }
@@ -196,6 +204,7 @@
                 }
             }
             Input::Connected { key, backend, connection } => self.connected(key, backend, connection),
+            Input::Began { key, backend, long } => self.began(key, backend, long),
             Input::Ended { key, backend, reply, connection } => {
                 connection.into_iter().for_each(|c| self.backends.put_back(backend, c));
                 self.ended(key, reply);
@@ -353,7 +362,7 @@
         let sent_ms = self.clock.now_ms();
         let expires_ms = timeout_ms.map_or(held.expires_ms, |ms| held.expires_ms.min(sent_ms + ms));
         let (call, phase) = (Arc::clone(&held.call), Phase::Connecting);
-        self.attempts.insert(key, Attempt { call, backend, sent_ms, expires_ms, phase });
+        self.attempts.insert(key, Attempt { call, backend, sent_ms, expires_ms, began_ms: None, phase });
         match self.backends.way(backend, Instant::now()) {
             Way::Open(connection) => self.write(key, connection),
             Way::New(dial) => {
@@ -395,14 +404,39 @@
         let request = attempt.call.encode(wait_ms);
         let until = self.clock.instant(attempt.expires_ms);
         let (backend, fields, inbox) = (attempt.backend, Arc::clone(&self.load_fields), self.inbox.clone());
+        let room = Arc::clone(&self.passing);
         let task = tokio::spawn(async move {
             let read = |frame| backends::called(frame, &fields);
-            let (reply, connection) = connection.exchange(request, until, read).await;
+            let told = inbox.clone();
+            let begins = |length: Option<usize>| async move {
+                let (passing, long) = match length {
+                    Some(length) => Long::begin(length, room).await.map(|(p, l)| (Some(p), Some(l)))?,
+                    None => (None, None),
+                };
+                told.send(Input::Began { key, backend, long }).await.ok()?;
+                passing
+            };
+            let (reply, connection) = connection.exchange(request, until, begins, read).await;
             let _ = inbox.send(Input::Ended { key, backend, reply, connection }).await;
         });
         attempt.phase = Phase::Writing(task.abort_handle());
     }
 
+    /// Notes that an attempt's answer comes, and passes on a value that is too long to be held. Where nobody
+    /// is owed it any more, whoever reads it finds that out.
+    fn began(&mut self, key: Key, backend: u32, long: Option<Long>) {
+        let now = self.clock.now_ms();
+        let Some(attempt) = self.attempts.get_mut(&key) else { return };
+        attempt.began_ms = Some(now);
+        let Some(long) = long else { return };
+        let (id, number) = key;
+        if let Some(to) = self.owed(id) {
+            // Fails only if the client has gone, which is told by itself.
+            let _ = to.send(Answer::Long(long));
+            self.handle(Event::StreamStarted { id, attempt: number, backend });
+        }
+    }
+
     fn cancel(&mut self, key: Key) {
         let Some(attempt) = self.attempts.get(&key) else { return };
         let outcome = match &attempt.phase {
@@ -437,7 +471,8 @@
             attempt: number,
             backend: attempt.backend,
             outcome,
-            latency_ms: self.clock.now_ms() - attempt.sent_ms,
+            // Danger: a peer that writes for seconds, taken for one with a queue.
+            latency_ms: attempt.began_ms.unwrap_or_else(|| self.clock.now_ms()) - attempt.sent_ms,
             closed: self.held.get(&id).is_none_or(|h| h.answer.is_none()),
             metered,
             charged,
@@ -460,7 +495,8 @@
             let (reply, connection) = match connection {
                 Some(c) => {
                     let (probe, until) = (Bytes::from_static(probe), Instant::now() + limit);
-                    c.exchange(probe, until, |frame| backends::probed(frame, &fields)).await
+                    c.exchange(probe, until, |_| async { None }, |frame| backends::probed(frame, &fields))
+                        .await
                 }
                 None => (Reply::failed(Outcome::ConnectFailed), None),
             };
--- a/crates/gateway/src/input.rs
+++ b/crates/gateway/src/input.rs
@@ -8,6 +8,7 @@
 use crate::backends::{Connection, Reply};
 use crate::counter::{Counted, Counter};
 use crate::discovery::News;
+use crate::long::Long;
 use crate::resp::{Answer, Call};
 
 /// An attempt: the request's number and the attempt's, from 0.
@@ -29,6 +30,12 @@
         backend: u32,
         connection: Option<Connection>,
     },
+    /// The answer of an attempt has begun to come; a value that is too long to be held whole comes with it.
+    Began {
+        key: Key,
+        backend: u32,
+        long: Option<Long>,
+    },
     Ended {
         key: Key,
         backend: u32,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod keep;
 mod keeper;
 mod listing;
+mod long;
 mod management;
 mod order;
 mod resp;
--- /dev/null
+++ b/crates/gateway/src/long.rs
@@ -0,0 +1,61 @@
+//! Values that are passed on as they come, as they are longer than what is held whole.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use tokio::sync::{mpsc, OwnedSemaphorePermit, Semaphore};
+
+/// What a value in passing takes of the memory at most: a piece that is read, one on its way, one written.
+pub const PASSING: usize = 32 * 1024;
+/// The longest piece.
+pub const PIECE_MOST: usize = 8 * 1024;
+/// How long a backend in the middle of a value may say nothing.
+pub const SILENT_MOST: Duration = Duration::from_secs(10);
+
+/// A value that has begun to come.
+#[derive(Debug)]
+pub struct Long {
+    /// Its bytes in all.
+    pub length: usize,
+    /// Its pieces. They end before the length where it can't be finished.
+    pub pieces: mpsc::Receiver<Bytes>,
+    _room: OwnedSemaphorePermit,
+}
+
+/// The other end of it.
+#[derive(Debug)]
+pub struct Passing {
+    left: usize,
+    pieces: mpsc::Sender<Bytes>,
+}
+
+impl Long {
+    /// Appends what stands before its pieces.
+    pub fn head(&self, buffer: &mut BytesMut) {
+        buffer.extend_from_slice(format!("${}\r\n", self.length).as_bytes());
+    }
+
+    /// A value of a length, once there is room for it.
+    pub async fn begin(length: usize, room: Arc<Semaphore>) -> Option<(Passing, Long)> {
+        let _room = room.acquire_many_owned(PASSING as u32).await.ok()?;
+        let (sender, pieces) = mpsc::channel(1);
+        Some((Passing { left: length, pieces: sender }, Long { length, pieces, _room }))
+    }
+}
+
+impl Passing {
+    /// Bytes that are still to come.
+    pub fn left(&self) -> usize {
+        self.left
+    }
+
+    /// Passes on what is there of the value; tells whether somebody still takes it.
+    pub async fn pass(&mut self, buffer: &mut BytesMut) -> bool {
+        let n = buffer.len().min(self.left).min(PIECE_MOST);
+        self.left -= n;
+        // The piece alone, not the buffer that it came in.
+        let piece = Bytes::copy_from_slice(&buffer.split_to(n));
+        self.pieces.send(piece).await.is_ok()
+    }
+}
--- a/crates/gateway/src/resp.rs
+++ b/crates/gateway/src/resp.rs
@@ -10,8 +10,12 @@
 use slatelock::settings::Names;
 use tokio::sync::OwnedSemaphorePermit;
 
+use crate::long::Long;
+
 /// The longest value or body.
 const VALUE_MOST: usize = 64 * 1024;
+/// The longest value that is passed on as it comes: the longest that RESP has (Redis, "Protocol").
+const LONG_MOST: usize = 512 << 20;
 /// The longest line that is no value.
 const LINE_MOST: usize = 4 * 1024;
 /// The most elements of an array.
@@ -36,6 +40,58 @@
     buffer.reserve(if buffer.is_empty() { READING } else { READING_ON });
 }
 
+/// How a backend's answer begins.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Lead {
+    /// More bytes are needed to tell.
+    Unknown,
+    /// It is one that is read whole.
+    Whole,
+    /// An array of so many parts, of which the first is a value of so many bytes; its head is so long.
+    Long { parts: usize, length: usize, head: usize },
+}
+
+/// Tells how a backend's answer begins.
+pub fn lead(buffer: &[u8]) -> Lead {
+    if buffer.first().is_some_and(|kind| *kind != b'*') {
+        return Lead::Whole;
+    }
+    let line = |from: usize| {
+        let rest = buffer.get(from..).unwrap_or_default();
+        rest.windows(2).take(LINE_MOST).position(|w| w == b"\r\n").map(|n| (&rest[..n], from + n + 2))
+    };
+    let (Some((array, at)), tail) = (line(0), buffer.len()) else {
+        return if buffer.len() > LINE_MOST { Lead::Whole } else { Lead::Unknown };
+    };
+    match buffer.get(at) {
+        None => return Lead::Unknown,
+        Some(b'$') => {}
+        Some(_) => return Lead::Whole,
+    }
+    let Some((value, head)) = line(at) else {
+        return if tail > at + LINE_MOST { Lead::Whole } else { Lead::Unknown };
+    };
+    let parts = number(&array[1..], ELEMENTS_MOST).ok().flatten();
+    match (parts, number(&value[1..], LONG_MOST)) {
+        (Some(parts), Ok(Some(length))) if length > VALUE_MOST => Lead::Long { parts, length, head },
+        _ => Lead::Whole,
+    }
+}
+
+/// Stands before an answer that is read whole.
+pub const WHOLE: &[u8] = b"";
+
+/// Stands before what is left of an answer of so many parts whose first, a value, was passed on.
+pub fn rest(parts: usize) -> Option<&'static [u8]> {
+    Some(match parts {
+        1 => b"*1\r\n$0\r\n",
+        2 => b"*2\r\n$0\r\n",
+        3 => b"*3\r\n$0\r\n",
+        4 => b"*4\r\n$0\r\n",
+        _ => return None,
+    })
+}
+
 /// Takes the next whole message off the buffer; `None` if more bytes are needed.
 pub fn next(buffer: &mut BytesMut) -> Result<Option<BytesFrame>, Malformed> {
     if measure(buffer)?.is_none() {
@@ -261,6 +317,8 @@
 pub enum Answer {
     /// The value as a backend gave it, and its part of the memory until it is written.
     Served(Bytes, OwnedSemaphorePermit),
+    /// A value that is passed on as it comes.
+    Long(Long),
     /// Trying again is harmless; when to come again, ms.
     Refused(Option<u64>),
     /// Nothing is promised.
@@ -279,6 +337,8 @@
         let error = |text: String| BytesFrame::Error(text.into());
         let frame = match self {
             Answer::Served(value, _room) => BytesFrame::BulkString(value),
+            // Its pieces follow, and the end of a value.
+            Answer::Long(long) => return long.head(buffer),
             Answer::Refused(None) => error("BUSY".to_string()),
             Answer::Refused(Some(ms)) => error(format!("BUSY {ms}")),
             Answer::Failed => error("ERR failed".to_string()),
@@ -289,3 +349,26 @@
         put(buffer, &frame);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_lead_is_told_from_any_cut_and_never_wrongly() {
+        let long = format!("*3\r\n${}\r\nabc", VALUE_MOST + 1);
+        let head = long.len() - 3;
+        for cut in 0..=long.len() {
+            let wanted = match cut {
+                _ if cut < head => Lead::Unknown,
+                _ => Lead::Long { parts: 3, length: VALUE_MOST + 1, head },
+            };
+            assert_eq!(lead(&long.as_bytes()[..cut]), wanted, "{cut}");
+        }
+        for whole in
+            ["-BUSY\r\n", "+PONG", "*3\r\n$4\r\nfine", "*3\r\n-ERR", "*1\r\n$-1\r\n", "*x\r\n$999999\r\n"]
+        {
+            assert_eq!(lead(whole.as_bytes()), Lead::Whole, "{whole}");
+        }
+    }
+}
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -35,8 +35,8 @@
 /// Descriptors for all but clients and backends: the runtime, the log, and the counter and discovery twice,
 /// as the old connections may still stand when a new configuration names others.
 const SPARE_SOCKETS: usize = 32;
-/// The part of the memory that requests and answers may take: buffers that are being read and written take
-/// about another two.
+/// The part of the memory that requests and answers may take, and values in passing: buffers that are being
+/// read and written take about another one.
 const ROOM_PART: usize = 4;
 /// The part of the memory that customers' records may take.
 const RECORDS_PART: usize = 8;
@@ -189,7 +189,8 @@
     let warm_up_ms = settings.slow_start.warm_up_ms;
     let gateways = settings.gateways;
     let (changes, terms) = watch::channel(Arc::new(terms));
-    let around = Around { backends, counter, inbox: asks, room: bytes, overseen, terms: changes };
+    let passing = Arc::new(Semaphore::new((memory_mb << 20) / ROOM_PART));
+    let around = Around { backends, counter, inbox: asks, room: bytes, passing, overseen, terms: changes };
     let mut driver = Driver::new(gateway, clock, around);
     let shared = management.and_then(|_| folder(listen, boot));
     let keeper = Keeper::new(shared, clock, warm_up_ms, stage.clone(), orders.clone());
--- a/crates/gateway/tests/support/net.rs
+++ b/crates/gateway/tests/support/net.rs
@@ -71,6 +71,13 @@
         line
     }
 
+    /// The most memory that it ever held, kB.
+    pub fn memory_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.process.id())).expect("it runs");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("a figure");
+        line.trim().trim_end_matches(" kB").parse().expect("a number")
+    }
+
     /// Waits for its end.
     pub fn wait(&mut self) -> ExitStatus {
         let start = Instant::now();
--- a/crates/slatelock/src/policy/choice.rs
+++ b/crates/slatelock/src/policy/choice.rs
@@ -221,7 +221,8 @@
     /// Danger: attempts stuck on a bad backend, or whose answers are lost. An overdue one counts against
     /// its backend; another is sent where the class allows it, the budget covers it and there is room.
     pub(super) fn overdue(&mut self, now: f64, id: u64, actions: &mut Vec<Action>) {
-        let Some(held) = self.requests.get_mut(&id) else { return };
+        // One whose answer comes is not overdue, however long that takes.
+        let Some(held) = self.requests.get_mut(&id).filter(|h| !h.streaming) else { return };
         let (class, units, arrived) = (held.request.class, held.request.units, held.attempts[0].sent);
         let tick = self.settings.tick_ms;
         let late = |a: &&mut Attempt| a.pending && !a.overdue && now - a.sent + tick >= a.patience;
@@ -249,6 +250,10 @@
     pub(super) fn after(&mut self, now: f64, id: u64, closed: bool, actions: &mut Vec<Action>) {
         let Some(held) = self.requests.get_mut(&id) else { return };
         let pending = held.attempts.iter().any(|a| a.pending);
+        // Danger: an answer that is being passed on, cut off as another attempt of the request ends.
+        if held.streaming && pending && !held.done {
+            return;
+        }
         if closed || (held.done && !pending) {
             return self.finish(id, actions);
         }
--- a/crates/slatelock/tests/rules.rs
+++ b/crates/slatelock/tests/rules.rs
@@ -197,3 +197,34 @@
     // Half of the ceiling's refill in 20 s, as the customer comes through two gateways.
     assert!((20.0..=0.5 * 4.0 * 20.0).contains(&passed), "{passed}");
 }
+
+/// Danger: an answer that is being passed on, cut off as another attempt of its request ends.
+#[test]
+fn an_answer_in_passing_outlasts_the_other_attempt_and_is_never_overdue() {
+    let mut rig = Rig::new(settings(), 4);
+    let actions = rig.ask(request(1, 0, 3, 1.0));
+    let first = sent_to(&actions).expect("sent");
+    // Overdue: a second attempt goes out beside it, and its answer begins to come.
+    let mut due = timers(&actions);
+    due.sort_by(|a, b| a.1.total_cmp(&b.1));
+    let second = due.into_iter().find_map(|(token, at)| {
+        rig.now = at;
+        sent_to(&rig.on(Event::Timer { token }))
+    });
+    let second = second.expect("a second attempt");
+    let began = rig.on(Event::StreamStarted { id: 1, attempt: 1, backend: second });
+    assert!(began.contains(&Action::Cancel { id: 1, attempt: 0 }), "{began:?}");
+    let end = Event::Ended {
+        id: 1,
+        attempt: 0,
+        backend: first,
+        outcome: Outcome::Cancelled,
+        latency_ms: 10.0,
+        closed: true,
+        metered: None,
+        charged: None,
+        load: &[],
+    };
+    let after = rig.on(end);
+    assert!(!after.contains(&Action::Cancel { id: 1, attempt: 1 }), "{after:?}");
+}
