--- a/crates/gateway/tests/long.rs
+++ b/crates/gateway/tests/long.rs
@@ -121,7 +121,7 @@
     for (mut client, writer) in readers {
         let mut got = vec![0; LONG + 1];
         client.read_exact(&mut got).expect("the whole value");
-        assert!(got.ends_with(b"\r\n") && &got[..LONG - 1] == &value.as_bytes()[1..]);
+        assert!(got.ends_with(b"\r\n") && got[..LONG - 1] == value.as_bytes()[1..]);
         writer.join().expect("written");
     }
 }
