Test of the ceiling: answers of the counter that vary, so that it fails without its law

With answers of 30 ms each no call was left out and the test passed without the change it guards. Now it fails with 22 units beyond (4 gateways, 2 of 100 calls lost) and passes with it.

--- a/crates/slatelock/tests/ceiling.rs
+++ b/crates/slatelock/tests/ceiling.rs
@@ -12,8 +12,8 @@
 use support::{backends, settings, Counter, T0};
 
 const CHAIN: u64 = 7;
-/// Answers of the counter take so long, ms, and calls are given up after that.
-const ANSWER_MS: u64 = 30;
+/// Answers of the counter take from 5 ms to so many more, and calls are given up after that.
+const ANSWER_MS: u64 = 60;
 const GIVE_UP_MS: u64 = 80;
 
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -60,7 +60,7 @@
                 Action::Count { name, amount, .. } => {
                     let ok = self.roll(100) >= lost;
                     let total_bits = self.counter.add(name, amount).to_bits();
-                    let at = now + if ok { ANSWER_MS } else { GIVE_UP_MS };
+                    let at = now + if ok { 5 + self.roll(ANSWER_MS) } else { GIVE_UP_MS };
                     self.later(at, Due::Counted { gateway, name, total_bits, ok });
                 }
                 Action::Timer { token, at_ms } => {
@@ -166,7 +166,7 @@
     /// crowded. Each gateway lets it pass once more. The slack of the rule is 14 units here, of 66.
     #[test]
     fn a_customer_back_from_a_quiet_time_keeps_the_ceiling(
-        gateways in 2u32..=8, quiet in 1u64..=24, lost in 0u64..=12, seed in any::<u64>(),
+        gateways in 2u32..=8, quiet in 1u64..=24, lost in 0u64..=30, seed in any::<u64>(),
     ) {
         let beyond = play(gateways, quiet * 1_000, lost, seed);
         prop_assert!(beyond <= 14.0, "{beyond} beyond, {gateways} gateways, {lost} of 100 lost, seed {seed}");
