Calls at the second address from the command line; bans and drains in status

Need: operators' calls without a line tool, and both fronts in one view. Change: beechrudder gateway ready, disable, enable, drain, undrain with --at, several at once, JSON and exit codes; status tells backends that a call bans and gateways that a call drains. Tested against a running gateway: done, refused, unreachable, partly, wrong words.

--- a/crates/agent/src/views.rs
+++ b/crates/agent/src/views.rs
@@ -109,6 +109,7 @@
             zone: String::new(),
             serving,
             drained_by: None,
+            banned_ms: None,
             weight: 1.0,
             ejected: false,
             warmth: 1.0,
--- a/crates/beechrudder/src/cli.rs
+++ b/crates/beechrudder/src/cli.rs
@@ -1,5 +1,6 @@
 //! What can be written on the command line.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -85,8 +86,11 @@
         #[arg(long, hide = true)]
         until_closed: bool,
     },
-    /// Run a gateway by the configuration that GW_CONFIG names
+    /// Run a gateway by the configuration that GW_CONFIG names; or call one at its second address
+    #[command(args_conflicts_with_subcommands = true)]
     Gateway {
+        #[command(subcommand)]
+        call: Option<GatewayCall>,
         /// The operator's file; without it there is no admin listener
         #[arg(long, value_name = "FILE")]
         operator: Option<PathBuf>,
@@ -100,6 +104,41 @@
     Man,
 }
 
+/// Where a call goes.
+#[derive(Debug, Args)]
+pub struct At {
+    /// Second address of a gateway, its `management`; may be given several times
+    #[arg(long, required = true, value_name = "ADDRESS:PORT")]
+    pub at: Vec<SocketAddr>,
+    /// How long each may take to answer
+    #[arg(long, default_value = "2s", value_parser = time, value_name = "TIME")]
+    pub deadline: Duration,
+}
+
+#[derive(Debug, Subcommand)]
+pub enum GatewayCall {
+    /// Ask whether it is ready to serve
+    Ready(At),
+    /// Send nothing more to a backend, whatever discovery says, until the call back
+    Disable {
+        /// The backend's name on the list
+        id: String,
+        #[command(flatten)]
+        at: At,
+    },
+    /// Use a backend again, as one that has just started
+    Enable {
+        /// The backend's name on the list
+        id: String,
+        #[command(flatten)]
+        at: At,
+    },
+    /// Empty it: no new clients, and connections close as they fall quiet
+    Drain(At),
+    /// Take clients again
+    Undrain(At),
+}
+
 #[derive(Debug, Subcommand)]
 pub enum Plans {
     /// Say what is wrong with catalogues, by line and key
--- a/crates/beechrudder/src/exit.rs
+++ b/crates/beechrudder/src/exit.rs
@@ -11,7 +11,8 @@
   2  the command line is wrong
   3  partly done: some gateway is unreachable or late, and is named; it catches up by itself when it is back
   4  refused, and nothing was changed: an unknown subject, too few left, an id used before
-  5  the agent can't be reached, or ended before it had said all; ask again with the same --id";
+  5  the agent, or no gateway of a call, can't be reached, or ended before it had said all; ask again, an order
+     with the same --id";
 
 /// Why the command did not end well.
 #[derive(Debug)]
@@ -26,6 +27,8 @@
     Partly,
     /// Refused, and nothing was changed.
     Refused(Fault),
+    /// Refused by each gateway that was called; why was told.
+    Turned,
     /// The agent can't be reached, or left too early.
     Agent(String),
 }
@@ -38,7 +41,7 @@
             Failure::Usage(_) => 2,
             Failure::Partly => 3,
             Failure::Refused(Fault { code: Code::Unavailable | Code::Log, .. }) | Failure::Agent(_) => 5,
-            Failure::Refused(_) => 4,
+            Failure::Refused(_) | Failure::Turned => 4,
         })
     }
 
@@ -47,7 +50,7 @@
         match self {
             Failure::Broken(text) | Failure::Agent(text) | Failure::Usage(text) => Some(text.clone()),
             Failure::Refused(fault) => Some(format!("refused: {}", fault.message)),
-            Failure::Told | Failure::Partly => None,
+            Failure::Told | Failure::Partly | Failure::Turned => None,
         }
     }
 }
--- a/crates/beechrudder/src/look.rs
+++ b/crates/beechrudder/src/look.rs
@@ -79,6 +79,7 @@
     for g in &seen.gateways {
         for b in g.state.iter().flat_map(|s| s.backends.iter().flatten()) {
             let state = match (b.serving, &b.drained_by, b.ejected) {
+                _ if b.banned_ms.is_some() => "banned",
                 (false, ..) => "draining",
                 (true, Some(_), _) => "drained",
                 (true, None, true) => "ejected",
@@ -120,6 +121,7 @@
     row.push(match &g.health {
         Health::Unreachable { why } => why.clone(),
         _ if g.state.as_ref().is_some_and(|s| s.drained_by.is_some()) => "drained by order".to_string(),
+        _ if g.state.as_ref().is_some_and(|s| s.drained_ms.is_some()) => "drained by call".to_string(),
         _ if g.restarts > 0 => format!("started anew {} times", g.restarts),
         _ => String::new(),
     });
--- a/crates/beechrudder/src/main.rs
+++ b/crates/beechrudder/src/main.rs
@@ -7,12 +7,14 @@
 //!  members.rs  gateways                      │
 //!  resolve.rs  sources                       ┘
 //!              resolve ──────────────────────── resolvers, by beechrudder-sources
+//!  call.rs     gateway ready, disable ... ────── second addresses of gateways
 //!  check/      check FILE
 //!  plans.rs    plans check, show, change FILE
 //!  up/         stand-ins, gateways and an agent on this machine
 //! ```
 
 mod agent;
+mod call;
 mod check;
 mod cli;
 mod exit;
@@ -52,7 +54,8 @@
         Command::Plans { command } => plans::run(&command, output),
         Command::Gateways { command } => wait(members::run(&agent, &command, output)),
         Command::Agent { operator, until_closed } => wait(up::agent::run(&operator, until_closed)),
-        Command::Gateway { operator, until_closed } => {
+        Command::Gateway { call: Some(call), .. } => wait(call::run(call, output)),
+        Command::Gateway { call: None, operator, until_closed } => {
             up::gateway::until_closed(until_closed);
             slatelock_gateway::run(operator.as_deref()).map_err(Failure::Broken)
         }
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -107,6 +107,9 @@
     pub last_order: Option<OrderId>,
     /// The order that drains the gateway itself, if any does.
     pub drained_by: Option<OrderId>,
+    /// Since when a call at its second address drains it, Unix time in ms, if one does.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub drained_ms: Option<f64>,
     /// Grows with each change of a line that a backend's row below is made of, but for what is in flight.
     pub list: u64,
     /// Figures.
@@ -165,6 +168,9 @@
     pub serving: bool,
     /// The order that drains it, if any does.
     pub drained_by: Option<OrderId>,
+    /// Since when a call at the gateway's second address bans it, Unix time in ms, if one does.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub banned_ms: Option<f64>,
     /// The weight that is ordered; 1 without.
     pub weight: f64,
     /// Whether it gets no work as it failed or fell silent.
--- a/crates/gateway/src/driver/overseen.rs
+++ b/crates/gateway/src/driver/overseen.rs
@@ -197,7 +197,7 @@
             let (ejected, warmth) = view.map_or((false, 1.0), |b| (b.ejected, b.warmth));
             figures.listed += 1;
             figures.serving += u32::from(serving);
-            figures.drained += u32::from(drained_by.is_some());
+            figures.drained += u32::from(drained_by.is_some() || row.banned_ms.is_some());
             figures.ejected += u32::from(ejected);
             figures.cold += u32::from(warmth < 1.0);
             if backends {
@@ -209,6 +209,7 @@
                     zone: e.zone.clone(),
                     serving,
                     drained_by,
+                    banned_ms: row.banned_ms,
                     weight: row.effect.weight,
                     ejected,
                     warmth,
@@ -225,6 +226,7 @@
             holds: overseen.desired.revision(),
             last_order: overseen.last_order.clone(),
             drained_by: overseen.desired.gateway_drained(&overseen.name).cloned(),
+            drained_ms: overseen.book.drained_ms(),
             list: self.roster.changes(),
             figures,
             backends: backends.then_some(rows),
--- a/crates/slatelock/tests/terms.rs
+++ b/crates/slatelock/tests/terms.rs
@@ -13,7 +13,8 @@
                "group": "all", "window-ms": 0.0, "streaming": false})
     };
     json!({
-        "contract": {"ask-within-ms": 1.0, "overload-for-ms": 1.0, "start-capacity": 0.2, "stop-sending-within-ms": 500.0,
+        "contract": {"ask-within-ms": 1.0, "overload-for-ms": 1.0, "start-capacity": 0.2,
+                     "stop-sending-within-ms": 500.0,
                      "tip-multiple": 3.0, "warm-up-ms": 1.0},
         "family-info": {"count-wait-ms": 1.0, "meter-period-ms": 0.0, "peer-intake": 0.0,
                         "shared-counter": true, "units-top": 8},
