--- a/crates/beechrudder/src/exit.rs
+++ b/crates/beechrudder/src/exit.rs
@@ -11,8 +11,8 @@
   2  the command line is wrong
   3  partly done: some gateway is unreachable or late, and is named; it catches up by itself when it is back
   4  refused, and nothing was changed: an unknown subject, too few left, an id used before
-  5  the agent, or no gateway of a call, can't be reached, or ended before it had said all; ask again, an order
-     with the same --id";
+  5  the agent, or every gateway that is called, can't be reached, or ended before it had said all; ask again,
+     an order with the same --id";
 
 /// Why the command did not end well.
 #[derive(Debug)]
