--- a/crates/slatelock/src/policy/choice.rs
+++ b/crates/slatelock/src/policy/choice.rs
@@ -87,9 +87,10 @@
         for from in from {
             let begin = picks.len();
             self.backends.draw(from, ignore_ejection, &mut || roll(dice), picks);
-            let drawn = &picks[begin..];
+            let (drawn, of) = (&picks[begin..], self.backends.counts(from));
+            let some = drawn.len() < of.ready - of.ejected;
             for place in drawn {
-                let choice = self.candidate(now, held, *place, (work, warm_push, drawn.len()), dice);
+                let choice = self.candidate(now, held, *place, (work, warm_push, drawn.len(), some), dice);
                 best = match (best, choice) {
                     (Some(best), Some(choice)) if choice.before(&best) => Some(choice),
                     (best, choice) => best.or(choice),
@@ -102,13 +103,14 @@
         best
     }
 
-    /// What is expected of a candidate, one of so many that are drawn; none if nothing may be sent there.
+    /// What is expected of a candidate, one of so many that are all or only some of those there are; none if
+    /// nothing may be sent there.
     pub(super) fn candidate(
         &self,
         now: f64,
         held: &Held,
         place: usize,
-        (work, warm_push, drawn): (f64, f64, usize),
+        (work, warm_push, drawn, some): (f64, f64, usize, bool),
         dice: &mut u64,
     ) -> Option<Choice> {
         let noise = 1.0 + NOISE * roll(dice);
@@ -121,12 +123,13 @@
         if warmth < 1.0 {
             let sharing = self.backends.degree() * self.processes;
             let part = self.cold_part(warmth, sharing, warm_push + work);
-            // Danger: a cold backend left idle: each gateway's part is under a request; or it is drawn with
-            // one that is always faster; or it was slow with the first request after its start, or there is
-            // so little to do that a warm one is always free. It gets the cold part of an even share by
-            // chance, within its part; the sum over gateways is the same.
+            // Danger: a cold backend left idle as each gateway's part is under a request, or as one of those
+            // that are drawn with it is always faster; or one that operators gave back, as warm ones are always
+            // free beside it. It gets the cold part of an even share by chance; the sum over gateways is the
+            // same. Harm: answers of a cold one are slower, so it is not done for each that starts.
             let (little, within) = (part < work, pushed + work <= part);
-            lucky = (little || within) && roll(dice) * drawn as f64 <= warmth;
+            let given_back = b.entry.returned_ms > b.entry.started_ms;
+            lucky = (little || (some || given_back) && within) && roll(dice) * drawn as f64 <= warmth;
             // Danger: gateways that it is no home of, each with a part of its own.
             if !self.backends.is_home(place) || !(within || little && lucky) {
                 return None;
