The load of the testbed asks a gateway before it uses it, as a front does

Need: a drained gateway keeps its listener open now, so the test that waited for refused connections never ended. New connections of the load ask PING first and go on to the next gateway on a no.

--- a/crates/slatelock/src/policy/choice.rs
+++ b/crates/slatelock/src/policy/choice.rs
@@ -124,9 +124,9 @@
             let sharing = self.backends.degree() * self.processes;
             let part = self.cold_part(warmth, sharing, warm_push + work);
             // Danger: a cold backend left idle as each gateway's part is under a request, or as one of those
-            // that are drawn with it is always faster; or one that operators gave back, as warm ones are always
-            // free beside it. It gets the cold part of an even share by chance; the sum over gateways is the
-            // same. Harm: answers of a cold one are slower, so it is not done for each that starts.
+            // that are drawn with it is always faster; or one that operators gave back, as warm ones are
+            // always free beside it. It gets the cold part of an even share by chance; the sum over gateways
+            // is the same. Harm: answers of a cold one are slower, so it is not done for each that starts.
             let (little, within) = (part < work, pushed + work <= part);
             let given_back = b.entry.returned_ms > b.entry.started_ms;
             lucky = (little || (some || given_back) && within) && roll(dice) * drawn as f64 <= warmth;
--- a/crates/testbed/src/client.rs
+++ b/crates/testbed/src/client.rs
@@ -228,11 +228,15 @@
                 return answer;
             }
         }
-        // A gateway that is down or drained refuses the connection: the front goes on to the next.
+        // One that is down refuses the connection, and one that is drained says no: the front goes on to the
+        // next.
         for next in 0..self.gateways.len() {
             let place = (gateway + next) % self.gateways.len();
-            if let Ok(stream) = TcpStream::connect(self.gateways[place]).await {
+            if let Ok(mut stream) = TcpStream::connect(self.gateways[place]).await {
                 let _ = stream.set_nodelay(true);
+                if !takes_clients(&mut stream).await {
+                    continue;
+                }
                 return self.talk(place, stream, command, id).await.unwrap_or(Answer::Lost);
             }
         }
@@ -271,3 +275,12 @@
         Some(answer)
     }
 }
+
+/// Whether a gateway says yes to `PING`.
+async fn takes_clients(stream: &mut TcpStream) -> bool {
+    if stream.write_all(&resp::command(&["PING"])).await.is_err() {
+        return false;
+    }
+    let message = resp::read(stream, &mut BytesMut::new()).await;
+    message.is_some_and(|m| matches!(m.frame, BytesFrame::SimpleString(pong) if &pong[..] == b"PONG"))
+}
