--- a/crates/gateway/tests/upgrade.rs
+++ b/crates/gateway/tests/upgrade.rs
@@ -103,10 +103,10 @@
     }
 }
 
-/// A backend that serves all, and notes what came when.
+/// A backend that serves all, and notes what came.
 struct Backend {
     address: SocketAddr,
-    came: Arc<Mutex<Vec<(Instant, String)>>>,
+    came: Arc<Mutex<Vec<String>>>,
 }
 
 fn backend() -> Backend {
@@ -116,7 +116,7 @@
     thread::spawn(move || {
         while let Some(mut arrived) = stand_in.within(Duration::from_secs(120)) {
             if arrived.words.len() > 2 {
-                notes.lock().expect("unpoisoned").push((Instant::now(), arrived.words[2].clone()));
+                notes.lock().expect("unpoisoned").push(arrived.words[2].clone());
                 arrived.serve("fine");
             }
         }
@@ -126,7 +126,9 @@
 
 struct Load {
     stop: Arc<AtomicBool>,
+    /// The last number that was given to a request, and that of the request each client is at.
     last: Arc<AtomicU64>,
+    at: Arc<Vec<AtomicU64>>,
     clients: Vec<thread::JoinHandle<u64>>,
 }
 
@@ -150,12 +152,14 @@
     /// gives how many answers it had; one that is neither served nor refused ends it.
     fn start(at: SocketAddr, clients: u64) -> Load {
         let (stop, last) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
-        let client = |_| {
-            let (stop, last) = (Arc::clone(&stop), Arc::clone(&last));
+        let each: Arc<Vec<AtomicU64>> = Arc::new((0..clients).map(|_| AtomicU64::new(0)).collect());
+        let client = |me: u64| {
+            let (stop, last, each) = (Arc::clone(&stop), Arc::clone(&last), Arc::clone(&each));
             thread::spawn(move || {
                 let (mut answers, mut open) = (0, None::<BufReader<TcpStream>>);
                 while !stop.load(Ordering::Relaxed) {
-                    let id = last.fetch_add(1, Ordering::Relaxed) + 1;
+                    let id = last.fetch_add(1, Ordering::SeqCst) + 1;
+                    each[me as usize].store(id, Ordering::SeqCst);
                     let request = call(id, "unsafe", "free", 1, 8000);
                     // A close that crosses a request: it is sent once more, on a new connection.
                     let mut answer = None;
@@ -180,7 +184,21 @@
             })
         };
         let clients = (0..clients).map(client).collect();
-        Load { stop, last, clients }
+        Load { stop, last, at: each, clients }
+    }
+
+    /// The last number by now. Requests that begin later have greater ones.
+    fn last(&self) -> u64 {
+        self.last.load(Ordering::SeqCst)
+    }
+
+    /// Waits until all requests up to a number are over.
+    fn over(&self, number: u64) {
+        let start = Instant::now();
+        while self.at.iter().any(|at| at.load(Ordering::SeqCst) <= number) {
+            assert!(start.elapsed() < PATIENCE, "the load does not go on");
+            thread::sleep(Duration::from_millis(2));
+        }
     }
 
     fn end(self) -> (u64, u64) {
@@ -229,7 +247,7 @@
     fn each_once(&self) -> usize {
         let mut seen = HashSet::new();
         for backend in &self.backends {
-            for (_, id) in backend.came.lock().expect("unpoisoned").iter() {
+            for id in backend.came.lock().expect("unpoisoned").iter() {
                 assert!(seen.insert(id.clone()), "{id} came twice");
             }
         }
@@ -243,8 +261,8 @@
     let mut old = world.start();
     old.ready();
     let load = Load::start(world.at(), 4);
-    // From its yes until the call back nothing may come.
-    let mut banned: HashMap<usize, Vec<(Instant, Instant)>> = HashMap::new();
+    // Requests that begin after its yes and are over before the call back: none of them may come.
+    let mut banned: HashMap<usize, Vec<(u64, u64)>> = HashMap::new();
     for round in 0..6usize {
         let id = round % 3;
         let mut new = world.start();
@@ -252,16 +270,17 @@
         if round % 2 == 0 {
             old.yes(&format!("DISABLE s-{id}"));
         }
-        let early = Instant::now();
+        let early = load.last();
         new.ready();
         if round % 2 == 1 {
             new.yes(&format!("DISABLE s-{id}"));
         }
-        let from = if round % 2 == 0 { early } else { Instant::now() };
+        let from = if round % 2 == 0 { early } else { load.last() };
         old.signal("-TERM");
         assert!(old.ended(), "round {round}: the old process ends well");
-        thread::sleep(Duration::from_millis(100));
-        banned.entry(id).or_default().push((from, Instant::now()));
+        let to = load.last() + 8;
+        load.over(to);
+        banned.entry(id).or_default().push((from, to));
         new.yes(&format!("ENABLE s-{id}"));
         old = new;
     }
@@ -269,8 +288,9 @@
     assert_eq!(asked, answers);
     assert!(world.each_once() > 100, "little came");
     for (id, spans) in banned {
-        for (at, request) in world.backends[id].came.lock().expect("unpoisoned").iter() {
-            let in_ban = spans.iter().any(|(from, to)| at > from && at < to);
+        for request in world.backends[id].came.lock().expect("unpoisoned").iter() {
+            let number = u64::from_str_radix(request, 16).expect("a number");
+            let in_ban = spans.iter().any(|(from, to)| number > *from && number <= *to);
             assert!(!in_ban, "{request} came to s-{id} while it was banned");
         }
     }
