An attempt that waited for its connection begins only while it still may

Cause: a repeat is chosen within the window and written when its connection is up, up to the connect time-out later (driver.rs, connected and write; choice.rs, legal, looks at the moment of the choice). Ruled out: the group (none went to another cell) and pooled connections (written 2 to 5 ms before the window ends, never a break).

Send says by when its last byte has to be written, from the earliest attempt that may have run (choice.rs, repeat_until, which legal goes by as well); the driver looks at it when the connection comes up, and writes no longer than that. The time-out that Send had was never set, and is gone. At the same place: a request whose client has gone or has its answer is not written, also where attempts may not be cancelled. Probes go the same way (driver/probing.rs): one whose connection comes up late is not written to a backend that drains by then.

--- a/crates/benchlink/src/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -352,8 +352,9 @@
 
     pub fn action(&mut self, instance: u16, action: &Action) {
         match action {
-            Action::Send { id, backend, timeout_ms } => {
-                let wait = timeout_ms.unwrap_or(0.0).to_be_bytes();
+            // What is sent there begins at once, and waits until the client gives up.
+            Action::Send { id, backend, .. } => {
+                let wait = 0.0f64.to_be_bytes();
                 self.put(instance, 6, &[&id.to_be_bytes(), &backend.to_be_bytes(), &wait]);
             }
             Action::Cancel { id, attempt } => {
--- a/crates/gateway/src/backends.rs
+++ b/crates/gateway/src/backends.rs
@@ -331,16 +331,17 @@
         open && self.buffer.is_empty() && now.duration_since(self.idle_since) < idle_most
     }
 
-    /// Writes a call or a probe and reads its answer. The connection comes back if it can be used again. What
-    /// comes first is told to `begins`: a value that is too long to be held whole has to be taken there.
+    /// Writes a call or a probe, by a moment, and reads its answer, by another. The connection comes back if
+    /// it can be used again. What comes first is told to `begins`: a value that is too long to be held whole
+    /// has to be taken there.
     pub async fn exchange<B: Future<Output = Option<Passing>>>(
         mut self,
         request: Bytes,
-        until: Instant,
+        (written_by, until): (Instant, Instant),
         begins: impl FnOnce(Option<usize>) -> B,
         read: impl FnOnce(BytesFrame) -> Option<Reply>,
     ) -> (Reply, Option<Connection>) {
-        match timeout_at(until, self.stream.write_all(&request)).await {
+        match timeout_at(written_by, self.stream.write_all(&request)).await {
             Ok(Ok(())) => {}
             Ok(Err(_)) | Err(_) => return (Reply::failed(Outcome::ConnectFailed), None),
         }
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -2,6 +2,7 @@
 
 mod opening;
 mod overseen;
+mod probing;
 
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::future::poll_fn;
@@ -25,7 +26,7 @@
 use crate::clock::Clock;
 use crate::counter::{self, Counted, Counter};
 use crate::discovery::News;
-use crate::input::{Due, Input, Key};
+use crate::input::{Due, Input, Key, Purpose};
 use crate::listing::{Endpoint, Status};
 use crate::long::Long;
 use crate::order::Order;
@@ -42,8 +43,6 @@
 const LOOK_OVER: Duration = Duration::from_secs(2);
 /// Inputs taken in at once.
 const BATCH: usize = 64;
-/// What a probe sends: as plain as can be where backends tell nothing of their load.
-const PROBES: (&[u8], &[u8]) = (b"*1\r\n$4\r\nPING\r\n", b"*2\r\n$4\r\nINFO\r\n$4\r\nload\r\n");
 
 /// A request that is owed a final answer or has attempts out.
 struct Held {
@@ -71,6 +70,8 @@
     backend: u32,
     sent_ms: f64,
     expires_ms: f64,
+    /// Its last byte has to be written by then.
+    begin_by_ms: f64,
     /// When its answer began to come.
     began_ms: Option<f64>,
     phase: Phase,
@@ -229,16 +230,10 @@
                 connection.into_iter().for_each(|c| self.backends.put_back(backend, c));
                 self.ended(key, reply);
             }
-            Input::Probed { backend, reply, connection } => {
+            Input::Opened { backend, connection, purpose } => self.opened(backend, connection, purpose),
+            Input::Probed { backend, reply, connection, purpose } => {
                 connection.into_iter().for_each(|c| self.backends.put_back(backend, c));
-                let (outcome, facts) = match reply {
-                    Reply::Served(_, facts) => (Outcome::Ok, facts),
-                    Reply::Failed(outcome, facts) => (outcome, facts),
-                };
-                self.handle(Event::Probed { backend, outcome, load: &facts.load });
-            }
-            Input::Tried { backend, life_ms, reply, connection } => {
-                self.tried(backend, life_ms, reply, connection);
+                self.probed(backend, reply, purpose);
             }
             Input::Due(Due::Opening) => self.opening_due(),
             // Danger: the late answer of a call that is out of time, taken for that of another.
@@ -316,7 +311,7 @@
 
     fn carry_out(&mut self, action: Action) {
         match action {
-            Action::Send { id, backend, timeout_ms } => self.send(id, backend, timeout_ms),
+            Action::Send { id, backend, begin_by_ms } => self.send(id, backend, begin_by_ms),
             Action::Cancel { id, attempt } => self.cancel((id, attempt)),
             Action::Refuse { id, retry_after_ms } => {
                 // Danger: a time rounded down is a time too early.
@@ -324,7 +319,7 @@
                 self.answer(id, Answer::Refused(after));
             }
             Action::Surrender { id } => self.answer(id, Answer::Failed),
-            Action::Probe { backend } => self.probe(backend),
+            Action::Probe { backend } => self.probe(backend, Purpose::Health),
             Action::Count { name, amount, forget_after_ms } => {
                 self.count(name, amount, forget_after_ms);
             }
@@ -386,14 +381,15 @@
         }
     }
 
-    fn send(&mut self, id: u64, backend: u32, timeout_ms: Option<f64>) {
+    fn send(&mut self, id: u64, backend: u32, begin_by_ms: Option<f64>) {
         let Some(held) = self.held.get_mut(&id) else { return };
         let key = (id, held.attempts);
         (held.attempts, held.out) = (held.attempts + 1, held.out + 1);
-        let sent_ms = self.clock.now_ms();
-        let expires_ms = timeout_ms.map_or(held.expires_ms, |ms| held.expires_ms.min(sent_ms + ms));
-        let (call, phase) = (Arc::clone(&held.call), Phase::Connecting);
-        self.attempts.insert(key, Attempt { call, backend, sent_ms, expires_ms, began_ms: None, phase });
+        let (sent_ms, expires_ms) = (self.clock.now_ms(), held.expires_ms);
+        let begin_by_ms = begin_by_ms.map_or(expires_ms, |by| by.min(expires_ms));
+        let (call, phase, began_ms) = (Arc::clone(&held.call), Phase::Connecting, None);
+        let attempt = Attempt { call, backend, sent_ms, expires_ms, begin_by_ms, began_ms, phase };
+        self.attempts.insert(key, attempt);
         match self.backends.way(backend, Instant::now()) {
             Way::Open(connection) => self.write(key, connection),
             Way::New(dial) => {
@@ -418,23 +414,34 @@
 
     /// Goes on with an attempt when its connection is up, or not in time.
     fn connected(&mut self, key: Key, backend: u32, connection: Option<Connection>) {
-        let wanted = self.attempts.contains_key(&key);
         match connection {
-            // Danger: a request written after it was cancelled, or to a backend that drains by now. The
-            // connection may still serve others.
-            Some(c) if !wanted => self.backends.put_back(backend, c),
-            Some(c) if self.backends.current(backend, &c) => self.write(key, c),
-            Some(_) => self.over(key, backend, Outcome::Moot),
+            // Danger: a request written to a backend that drains by now.
+            Some(c) if !self.backends.current(backend, &c) => self.over(key, backend, Outcome::Moot),
+            Some(c) if self.may_begin(key) => self.write(key, c),
+            // The connection may still serve others.
+            Some(c) => {
+                self.backends.put_back(backend, c);
+                self.over(key, backend, Outcome::Moot);
+            }
             None => self.over(key, backend, Outcome::ConnectFailed),
         }
     }
 
+    /// Whether an attempt that waited for its connection may still be written. Danger: a request whose client
+    /// has gone or has its answer, also where attempts may not be cancelled; and a repeat after the backends
+    /// have forgotten that it ran.
+    fn may_begin(&self, key: Key) -> bool {
+        let in_time = self.attempts.get(&key).is_some_and(|a| self.clock.now_ms() < a.begin_by_ms);
+        in_time && self.held.get(&key.0).is_some_and(|h| h.answer.is_some())
+    }
+
     /// Writes an attempt's request and has its answer sent to the inbox.
     fn write(&mut self, key: Key, connection: Connection) {
         let Some(attempt) = self.attempts.get_mut(&key) else { return };
         let wait_ms = (attempt.expires_ms - self.clock.now_ms()).floor().max(1.0) as u64;
         let request = attempt.call.encode(wait_ms);
         let until = self.clock.instant(attempt.expires_ms);
+        let written_by = self.clock.instant(attempt.begin_by_ms);
         let (backend, fields, inbox) = (attempt.backend, Arc::clone(&self.load_fields), self.inbox.clone());
         let room = Arc::clone(&self.passing);
         let task = tokio::spawn(async move {
@@ -448,7 +455,7 @@
                 told.send(Input::Began { key, backend, long }).await.ok()?;
                 passing
             };
-            let (reply, connection) = connection.exchange(request, until, begins, read).await;
+            let (reply, connection) = connection.exchange(request, (written_by, until), begins, read).await;
             let _ = inbox.send(Input::Ended { key, backend, reply, connection }).await;
         });
         attempt.phase = Phase::Writing(task.abort_handle());
@@ -514,40 +521,6 @@
         self.let_go(id);
     }
 
-    fn probe(&mut self, backend: u32) {
-        self.ask(backend, true, move |reply, connection| Input::Probed { backend, reply, connection });
-    }
-
-    /// Asks a backend for a sign of life, or, where it may not be asked, for no more than a connection.
-    fn ask(
-        &mut self,
-        backend: u32,
-        may_ask: bool,
-        told: impl FnOnce(Reply, Option<Connection>) -> Input + Send + 'static,
-    ) {
-        let way = self.backends.way(backend, Instant::now());
-        let (inbox, limit) = (self.inbox.clone(), self.backends.connect_limit);
-        let fields = Arc::clone(&self.load_fields);
-        let probe = if fields.is_empty() { PROBES.0 } else { PROBES.1 };
-        tokio::spawn(async move {
-            let connection = match way {
-                Way::Open(connection) => Some(connection),
-                Way::New(dial) => dial.open(limit).await,
-                Way::Full | Way::Closed => None,
-            };
-            let (reply, connection) = match connection {
-                Some(c) if !may_ask => (Reply::Served(Bytes::new(), Facts::default()), Some(c)),
-                Some(c) => {
-                    let (probe, until) = (Bytes::from_static(probe), Instant::now() + limit);
-                    c.exchange(probe, until, |_| async { None }, |frame| backends::probed(frame, &fields))
-                        .await
-                }
-                None => (Reply::failed(Outcome::ConnectFailed), None),
-            };
-            let _ = inbox.send(told(reply, connection)).await;
-        });
-    }
-
     fn list(&mut self, scope: ListScope, endpoints: Vec<Endpoint>, unsaid: &[String]) {
         if scope != ListScope::Cached {
             let now = self.clock.now_ms();
--- a/crates/gateway/src/driver/opening.rs
+++ b/crates/gateway/src/driver/opening.rs
@@ -8,8 +8,8 @@
 use tokio::time::Instant;
 use tokio_util::time::delay_queue;
 
-use crate::backends::{Connection, Reply};
-use crate::input::{Due, Input};
+use crate::backends::Reply;
+use crate::input::{Due, Purpose};
 
 use super::Driver;
 
@@ -107,7 +107,6 @@
     pub(super) fn opening_due(&mut self) {
         // Danger: the key of a timer that rang is given to another one.
         self.opening.as_mut().into_iter().for_each(|o| o.timer = None);
-        let may_ask = self.terms.borrow().settings.limits.probes;
         loop {
             let now = self.clock.now_ms();
             let Some(opening) = &mut self.opening else { return };
@@ -115,19 +114,13 @@
             let Some(life_ms) = opening.held_back.get(&backend).map(BackendEntry::cold_from_ms) else {
                 continue;
             };
-            self.ask(backend, may_ask, move |reply, connection| Input::Tried {
-                backend,
-                life_ms,
-                reply,
-                connection,
-            });
+            self.probe(backend, Purpose::FirstConnection { life_ms });
         }
         self.settle_opening();
     }
 
     /// Takes in what a first connection came to. The decisions have a backend from its first answer on.
-    pub(super) fn tried(&mut self, backend: u32, life_ms: f64, reply: Reply, connection: Option<Connection>) {
-        connection.into_iter().for_each(|c| self.backends.put_back(backend, c));
+    pub(super) fn tried(&mut self, backend: u32, life_ms: f64, reply: &Reply) {
         // One that is full answers.
         let answered = matches!(reply, Reply::Served(..) | Reply::Failed(Outcome::Full, _));
         let now = self.clock.now_ms();
--- a/crates/gateway/src/input.rs
+++ b/crates/gateway/src/input.rs
@@ -42,17 +42,17 @@
         reply: Reply,
         connection: Option<Connection>,
     },
-    Probed {
+    /// The connection that a probe waited for is up, or not in time.
+    Opened {
         backend: u32,
-        reply: Reply,
         connection: Option<Connection>,
+        purpose: Purpose,
     },
-    /// A first connection to a backend, of the life that began then, came to this.
-    Tried {
+    Probed {
         backend: u32,
-        life_ms: f64,
         reply: Reply,
         connection: Option<Connection>,
+        purpose: Purpose,
     },
     Counted(Counted),
     /// The counter is at another address now.
@@ -68,6 +68,15 @@
     FailAll,
 }
 
+/// What a probe is for.
+#[derive(Clone, Copy, Debug)]
+pub enum Purpose {
+    /// The decisions want to know whether an ejected backend answers again.
+    Health,
+    /// It is the first connection to a backend, of the life that began then, Unix time in ms.
+    FirstConnection { life_ms: f64 },
+}
+
 /// What a timer is for.
 pub enum Due {
     /// A token of the decisions.
--- a/crates/slatelock/src/interface.rs
+++ b/crates/slatelock/src/interface.rs
@@ -494,8 +494,9 @@
         id: u64,
         /// Where to.
         backend: u32,
-        /// Time-out of the attempt; none: until the client gives up.
-        timeout_ms: Option<f64>,
+        /// The last byte of the request has to be written by then, ms; later it must not be sent at all.
+        /// None: as long as the client waits.
+        begin_by_ms: Option<f64>,
     },
     /// Ends the wait for an attempt.
     Cancel {
--- a/crates/slatelock/src/policy/choice.rs
+++ b/crates/slatelock/src/policy/choice.rs
@@ -170,6 +170,15 @@
         warmth * core.max(warm)
     }
 
+    /// Until when a repeat of a request may begin: for a keyed one, while the backends of its group still
+    /// drop repeats of the earliest attempt that may have run. None: as long as it has time.
+    pub(super) fn repeat_until(&self, held: &Held) -> Option<f64> {
+        let class = &self.settings.classes[held.request.class];
+        let ran = held.attempts.iter().filter(|a| a.may_have_run && class.effect == Effect::Keyed);
+        let earliest = ran.map(|a| a.sent).min_by(f64::total_cmp)?;
+        Some(earliest + class.window_ms - self.settings.tick_ms)
+    }
+
     /// The one place that says whether a further attempt (to a backend) or a refusal (`None`) is legal.
     pub(super) fn legal(&self, held: &Held, to: Option<&Backend>, now: f64) -> bool {
         let class: &Class = &self.settings.classes[held.request.class];
@@ -185,14 +194,14 @@
             (Effect::Safe, _) => true,
             (Effect::Unsafe, _) => may_have_run().next().is_none(),
             (Effect::Keyed, None) => class.group == Group::All || may_have_run().next().is_none(),
-            (Effect::Keyed, Some(b)) => may_have_run().all(|a| {
-                let same = match class.group {
+            (Effect::Keyed, Some(b)) => {
+                let same = may_have_run().all(|a| match class.group {
                     Group::All => true,
                     Group::Zone => a.zone == b.entry.zone,
                     Group::Cell => a.cell == b.entry.cell,
-                };
-                same && now - a.sent < class.window_ms - self.settings.tick_ms
-            }),
+                });
+                same && self.repeat_until(held).is_none_or(|until| now < until)
+            }
         }
     }
 
@@ -215,9 +224,11 @@
             self.backends.watch(place, now + connect.max(1.0));
         }
         self.fleet.out += 1.0;
+        // Danger: a connection that comes up late, and a repeat that begins after the window.
+        let begin_by_ms = self.repeat_until(&self.requests[&id]);
         let held = self.requests.get_mut(&id).expect("held");
         self.customers.get_mut(held.request.customer).into_iter().for_each(|c| c.open += 1);
-        actions.push(Action::Send { id, backend, timeout_ms: None });
+        actions.push(Action::Send { id, backend, begin_by_ms });
         held.attempts.push(attempt);
         actions.push(Action::Timer { token: id << 2 | HEDGE, at_ms: now + patience });
     }
--- a/crates/slatelock/tests/rules.rs
+++ b/crates/slatelock/tests/rules.rs
@@ -44,6 +44,41 @@
     }
 }
 
+/// Danger: a repeat that is chosen in time and begins too late, as its connection comes up late.
+#[test]
+fn a_keyed_repeat_says_until_when_it_may_begin_counted_from_the_earliest_that_may_have_run() {
+    let begin_by = |actions: &[Action]| {
+        actions.iter().find_map(|a| match a {
+            Action::Send { begin_by_ms, .. } => Some(*begin_by_ms),
+            _ => None,
+        })
+    };
+    let settings = settings();
+    let window = settings.classes[1].window_ms - settings.tick_ms;
+    let mut rig = Rig::new(settings.clone(), 8);
+    let first = rig.ask(request(1, 1, 3, 1.0));
+    assert_eq!(begin_by(&first), Some(None), "nothing ran yet");
+    rig.now += 10.0;
+    // It never ran: the next is the first that may have.
+    let second = rig.end(1, 0, sent_to(&first).expect("sent"), Outcome::ConnectFailed);
+    assert_eq!(begin_by(&second), Some(None));
+    let from = rig.now;
+    rig.now += 100.0;
+    let third = rig.end(1, 1, sent_to(&second).expect("sent"), Outcome::Reset);
+    assert_eq!(begin_by(&third), Some(Some(from + window)));
+    rig.now += 100.0;
+    let fourth = rig.end(1, 2, sent_to(&third).expect("sent"), Outcome::Reset);
+    assert_eq!(begin_by(&fourth), Some(Some(from + window)), "the earliest counts");
+    // Classes that may run again, or never, have no window.
+    for class in [0, 2] {
+        let mut rig = Rig::new(settings.clone(), 8);
+        let first = rig.ask(request(1, class, 3, 1.0));
+        let outcome = if class == 0 { Outcome::Reset } else { Outcome::ConnectFailed };
+        let again = rig.end(1, 0, sent_to(&first).expect("sent"), outcome);
+        assert_eq!(begin_by(&again), Some(None), "class {class}");
+    }
+}
+
 #[test]
 fn a_keyed_request_of_all_backends_may_be_refused_and_sent_anywhere_in_time() {
     let mut rig = Rig::new(settings(), 8);
--- a/crates/testbed/src/scripted.rs
+++ b/crates/testbed/src/scripted.rs
@@ -215,10 +215,13 @@
     json!({"index": index, "snapshot": snapshot, "endpoints": endpoints})
 }
 
+#[derive(Default)]
 struct Told {
     /// Answers still to be given, in order; texts, so that odd ones can be given too.
     answers: Vec<String>,
     calls: Vec<String>,
+    /// Answers behind which the gateway has called again on the same connection.
+    followed: usize,
 }
 
 /// A discovery agent that gives each call the next answer, and is silent when it has none.
@@ -228,6 +231,15 @@
     told: Arc<(Mutex<Told>, Condvar)>,
 }
 
+/// How often a call that waits for an answer is looked at.
+const LOOK: Duration = Duration::from_millis(5);
+
+/// Whether the gateway has ended a call, or its connection can't be looked at.
+fn given_up(stream: &TcpStream) -> bool {
+    let ended = stream.set_nonblocking(true).is_ok() && matches!(stream.peek(&mut [0]), Ok(0));
+    ended || stream.set_nonblocking(false).is_err()
+}
+
 /// An answer of an agent's that is none: it is too busy.
 pub const TURNED_AWAY: &str = "503 Service Unavailable";
 
@@ -235,7 +247,7 @@
     pub fn start() -> Agent {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
-        let told = Arc::new((Mutex::new(Told { answers: Vec::new(), calls: Vec::new() }), Condvar::new()));
+        let told = Arc::<(Mutex<Told>, Condvar)>::default();
         let agent = Agent { address, told };
         let serving = agent.clone();
         thread::spawn(move || {
@@ -249,7 +261,7 @@
 
     fn serve(&self, mut stream: TcpStream) -> Option<()> {
         let mut from = BufReader::new(stream.try_clone().ok()?);
-        loop {
+        for before in 0.. {
             let mut head = String::new();
             while !head.ends_with("\r\n\r\n") {
                 from.read_line(&mut head).ok().filter(|n| *n > 0)?;
@@ -257,9 +269,14 @@
             let (lock, changed) = &*self.told;
             let mut told = lock.lock().expect("unpoisoned");
             told.calls.push(head.lines().next().unwrap_or_default().to_string());
+            told.followed += usize::from(before > 0);
             changed.notify_all();
+            // A call that was given up takes no answer.
             while told.answers.is_empty() {
-                told = changed.wait(told).expect("unpoisoned");
+                (told, _) = changed.wait_timeout(told, LOOK).expect("unpoisoned");
+                if given_up(&stream) {
+                    return None;
+                }
             }
             let body = told.answers.remove(0);
             if body == TURNED_AWAY {
@@ -269,6 +286,7 @@
             let length = body.len();
             write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}").ok()?;
         }
+        None
     }
 
     pub fn answer(&self, body: &str) {
@@ -279,9 +297,19 @@
 
     /// Gives an answer and waits until the gateway has taken it in and asked again.
     pub fn tell(&self, body: &Value) {
-        let before = self.calls().len();
-        self.answer(&body.to_string());
-        self.asked(before + 1);
+        let (lock, changed) = &*self.told;
+        let mut told = lock.lock().expect("unpoisoned");
+        let before = told.followed;
+        told.answers.push(body.to_string());
+        changed.notify_all();
+        let (told, _) =
+            changed.wait_timeout_while(told, PATIENCE, |t| t.followed <= before).expect("unpoisoned");
+        assert!(told.followed > before, "{:?}", told.calls);
+    }
+
+    /// Whether all answers were taken by a call.
+    pub fn given(&self) -> bool {
+        self.told.0.lock().expect("unpoisoned").answers.is_empty()
     }
 
     pub fn calls(&self) -> Vec<String> {
