A connection rests for 20 ms behind an answer before the next request

The pool takes the connection that fell idle last of those that have rested, a new one before one that rests, and one that rests before none. The test writes 50 requests each right behind an answer: of the code before, which fails it, most went out on the connection that had just answered. connections_are_used_again waits for the rest, or it would no longer look at a connection that its backend closed.

--- a/crates/gateway/src/backends.rs
+++ b/crates/gateway/src/backends.rs
@@ -24,6 +24,11 @@
 const PAUSE_MOST: Duration = Duration::from_millis(250);
 /// How long what stands behind a value that was passed on may take.
 const WHOLE_MOST: Duration = Duration::from_millis(250);
+/// How long a connection that has answered rests before the next request.
+///
+/// Danger: a second answer to the last request, some milliseconds late, taken for that to the next. One that
+/// comes while the connection rests shows, and ends it. Harm: a burst opens more connections.
+const REST: Duration = Duration::from_millis(20);
 /// The most connections to one backend. More requests than that would only wait there.
 const CONNECTIONS_MOST: usize = 160;
 /// The most at first, where connections follow answers.
@@ -37,6 +42,8 @@
     /// What the pool counted when it was opened; another count there makes it stale.
     generation: u64,
     idle_since: Instant,
+    /// When it may be used again, if there is another way.
+    rests_until: Instant,
     /// Its place among all idle connections, in the order in which they fell idle.
     turn: u64,
     _places: [OwnedSemaphorePermit; 2],
@@ -91,8 +98,8 @@
         let stream = timeout(limit, TcpStream::connect(self.address)).await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
         let (generation, idle_since) = (self.generation, Instant::now());
-        let (buffer, turn) = (BytesMut::new(), 0);
-        Some(Connection { stream, buffer, generation, idle_since, turn, _places: self.places })
+        let (buffer, turn, rests_until) = (BytesMut::new(), 0, idle_since);
+        Some(Connection { stream, buffer, generation, idle_since, rests_until, turn, _places: self.places })
     }
 }
 
@@ -254,7 +261,9 @@
         let Some(pool) = self.pools.get_mut(&backend).filter(|p| p.ready) else {
             return Way::Closed;
         };
-        while let Some(connection) = pool.idle.pop_back() {
+        // Those that rest stand last, as they fell idle last.
+        while let Some(rested) = pool.idle.iter().rposition(|c| c.rests_until <= now) {
+            let Some(connection) = pool.idle.remove(rested) else { break };
             self.turns.remove(&connection.turn);
             if connection.usable(now, self.idle_most) {
                 return Way::Open(connection);
@@ -270,10 +279,24 @@
                 let (address, generation) = (pool.address, pool.generation);
                 Way::New(Dial { address, generation, places: [of_all, of_pool] })
             }
-            _ => Way::Full,
+            _ => self.resting(backend, now),
         }
     }
 
+    /// The connection of a backend that has rested for longest. Danger: a backend that has room, given up as
+    /// all its connections have just answered and there may be no more.
+    fn resting(&mut self, backend: u32, now: Instant) -> Way {
+        let idle_most = self.idle_most;
+        let Some(pool) = self.pools.get_mut(&backend) else { return Way::Closed };
+        while let Some(connection) = pool.idle.pop_front() {
+            self.turns.remove(&connection.turn);
+            if connection.usable(now, idle_most) {
+                return Way::Open(connection);
+            }
+        }
+        Way::Full
+    }
+
     /// Danger: idle connections elsewhere that hold all the places. One makes room for one: to close them all
     /// would have the requests that follow open them anew, and walk all pools.
     fn close_longest_idle(&mut self) {
@@ -373,6 +396,7 @@
             Err(_) => return (Reply::failed(Outcome::Timeout), None),
         };
         self.idle_since = Instant::now();
+        self.rests_until = self.idle_since + REST;
         match read(frame) {
             Some(reply) => (reply, Some(self)),
             None => (Reply::failed(Outcome::Error), None),
--- a/crates/gateway/tests/backends.rs
+++ b/crates/gateway/tests/backends.rs
@@ -3,6 +3,9 @@
 #[path = "support/net.rs"]
 mod net;
 
+use std::thread::sleep;
+use std::time::Duration;
+
 use net::*;
 use serde_json::{json, Value};
 
@@ -85,9 +88,12 @@
     let rig = Rig::with(1, |_| {});
     let mut client = rig.gateway.client();
     let (_, first) = rig.serve_one(&mut client, 1);
+    // It rests for a moment behind an answer.
+    sleep(Duration::from_millis(30));
     let (_, second) = rig.serve_one(&mut client, 2);
     assert_eq!((first.connection, second.connection), (0, 0));
     second.close();
+    sleep(Duration::from_millis(30));
     // Unsafe: a write to the closed connection would be a reset that may have run.
     client.send(&words(&call(3, "unsafe", "free", 1, 8000)));
     let (_, mut third) = rig.next();
--- a/crates/gateway/tests/endings.rs
+++ b/crates/gateway/tests/endings.rs
@@ -119,3 +119,24 @@
         assert!(late.within(QUIET).is_none(), "sent on for nobody (cancel: {cancel})");
     }
 }
+
+/// Danger: a second answer that comes some milliseconds after the first, taken for that to the next request.
+#[test]
+fn a_connection_that_has_just_answered_rests_before_the_next_request() {
+    let rig = Rig::with(1, |_| {});
+    let mut client = rig.gateway.client();
+    let mut used_at_once = 0;
+    let mut last: Option<(usize, Instant)> = None;
+    for id in 0..50 {
+        client.send(&words(&call(id, "safe", "free", 1, 8000)));
+        let (_, mut arrived) = rig.next();
+        // From before the answer until after the next request: longer than the gateway's own time.
+        if last.is_some_and(|(on, at)| on == arrived.connection && at.elapsed() < Duration::from_millis(20)) {
+            used_at_once += 1;
+        }
+        last = Some((arrived.connection, Instant::now()));
+        arrived.serve("fine");
+        assert_eq!(client.read(), "fine");
+    }
+    assert_eq!(used_at_once, 0, "of 50 were written behind an answer at once");
+}
