Clients that leave and gateways that end: what is owed then is seen and settled

Found by review of what ends a connection; each has a test that fails on the code before. - A client with 32 commands open was not read, so its end showed only behind their answers, and commands behind them were still sent on for nobody. Some bytes are read ahead, and the end is seen behind unread ones (READ_CLOSED). The same while a command waits for room in the memory, and while an answer is written or passed on. - Connections went on being read for 1.5 s of a closing that lasts 1 s, so commands read as the last requests failed were sent on and lost with the process: 0.7 s now, and after the end the driver refuses what comes. - A request after SIGTERM has until the end of the drain at most: it is told to backends, and what is not expected to be done by then is refused (Ending). - Connections in the listener's line were reset when accepting ended. The acceptor takes what is in the line, and turns away what has no place at once. - One that is turned away with its request unread was reset behind -BUSY. Four at once linger for 0.2 s. The tests of clients, signals and long values pass unchanged.

--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -1,6 +1,7 @@
 //! The clients' side: the listener, and on each connection commands in and answers out in order.
 
 use std::collections::VecDeque;
+use std::io::ErrorKind;
 use std::pin::pin;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Weak};
@@ -8,7 +9,7 @@
 
 use bytes::BytesMut;
 use slatelock::terms::Terms;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, watch, Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::time::{sleep, sleep_until, timeout, Instant};
@@ -27,6 +28,8 @@
 /// How long a client that was told an error may take to close after the gateway has, and what it may
 /// still send.
 const LINGER: (Duration, usize) = (Duration::from_millis(200), 256 * 1024);
+/// Connections that were turned away and linger, at most: they have no place.
+const LINGER_MOST: usize = 4;
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// How long connections go on as before when the gateway is drained: new ones still come meanwhile.
@@ -39,12 +42,17 @@
 /// Who waits for an answer sends nothing meanwhile. Harm: clients that are seldom heard are closed so much
 /// later.
 pub const QUIET_ON: Duration = Duration::from_millis(300);
-/// How long a connection that is to close goes on being read while it never falls quiet.
-const READ_ON: Duration = Duration::from_millis(1_500);
+/// How long a connection that is to close goes on being read while it never falls quiet. Danger: a command
+/// that is read so late that the process ends before its answer.
+const READ_ON: Duration = Duration::from_millis(700);
 /// How long a command that has begun may take to come whole; clients may take 2 s for a head.
 const WHOLE_MOST: Duration = Duration::from_millis(2_500);
+/// Bytes behind the commands that wait which are read all the same, so that the client's end shows.
+const AHEAD_MOST: usize = 8 * 1024;
 /// How long a request may wait for room in the memory.
 const ROOM_MOST: Duration = Duration::from_millis(250);
+/// How often a client that sends urgent bytes is looked at.
+const ENDED_LOOK: Duration = Duration::from_millis(50);
 /// Buffers larger than this are not kept.
 const BUFFER_MOST: usize = 16 * 1024;
 /// How long a new connection may wait for a place, and how often one is looked for.
@@ -65,26 +73,25 @@
     pub last: AtomicU64,
     /// Says that connections are to close as soon as they owe no answer.
     pub closing: CancellationToken,
+    /// Says that no more connections are taken than have come by then.
+    pub shut: CancellationToken,
     /// Whether operators have drained the gateway.
     pub drained: Drained,
     pub tasks: TaskTracker,
 }
 
 impl Clients {
-    /// Accepts connections until the task ends, at most so many at once. Those of a drained gateway close as
+    /// Accepts connections until it is shut, at most so many at once. Those of a drained gateway close as
     /// they fall quiet. The listener stays: the platform may hold it as well, and what is in its line would
     /// wait there.
     pub async fn accept(self: Arc<Self>, listener: TcpListener, free: Arc<Semaphore>, most: usize) {
-        let mut places = Places { free, seats: Vec::new(), most };
+        let lingering = Arc::new(Semaphore::new(LINGER_MOST));
+        let mut places = Places { free, seats: Vec::new(), most, lingering };
         let (mut drained, mut closing) = (self.drained.clone(), self.closing.child_token());
         let mut close_at = None;
         loop {
             tokio::select! {
-                accepted = listener.accept() => match accepted {
-                    Ok((stream, _)) => self.serve(stream, &mut places, &closing).await,
-                    // Danger: no descriptor left, and a loop that does nothing but fail.
-                    Err(_) => sleep(ACCEPT_PAUSE).await,
-                },
+                biased;
                 Ok(()) = drained.changed() => {
                     close_at = if *drained.borrow_and_update() {
                         Some(Instant::now() + DRAIN_GRACE)
@@ -97,6 +104,13 @@
                     closing.cancel();
                     close_at = None;
                 }
+                accepted = listener.accept() => match accepted {
+                    Ok((stream, _)) => self.serve(stream, &mut places, &closing).await,
+                    // Danger: no descriptor left, and a loop that does nothing but fail.
+                    Err(_) => sleep(ACCEPT_PAUSE).await,
+                },
+                // Danger: connections in the listener's line, reset with requests that clients have written.
+                () = self.shut.cancelled() => return,
             }
         }
     }
@@ -108,9 +122,17 @@
         places: &mut Places,
         closing: &CancellationToken,
     ) {
-        let Some((place, seat)) = places.take().await else {
+        // What is in the line when no more are taken does not wait for a place: nor would it be served.
+        let Some((place, seat)) = places.take(!self.shut.is_cancelled()).await else {
             // Danger: more connections than descriptors. Whoever comes too late is told so.
-            let _ = timeout(ACCEPT_PAUSE, stream.write_all(b"-BUSY\r\n")).await;
+            let written = timeout(ACCEPT_PAUSE, stream.write_all(b"-BUSY\r\n")).await;
+            let lingers = Arc::clone(&places.lingering).try_acquire_owned();
+            if let (Ok(Ok(())), Ok(lingers)) = (written, lingers) {
+                self.tasks.spawn(async move {
+                    let _ = timeout(LINGER.0, linger(&mut stream)).await;
+                    drop(lingers);
+                });
+            }
             return;
         };
         let (clients, closing) = (Arc::clone(self), closing.clone());
@@ -148,13 +170,19 @@
     free: Arc<Semaphore>,
     seats: Vec<Weak<Seat>>,
     most: usize,
+    /// Connections that were turned away and may still linger.
+    lingering: Arc<Semaphore>,
 }
 
 impl Places {
-    /// A place for a new connection; `None` if none falls free in time.
-    async fn take(&mut self) -> Option<(OwnedSemaphorePermit, Arc<Seat>)> {
+    /// A place for a new connection; `None` if none is free, or falls free in time where that is `waited`
+    /// for.
+    async fn take(&mut self, waited: bool) -> Option<(OwnedSemaphorePermit, Arc<Seat>)> {
         let until = Instant::now() + PLACE_MOST.0;
         let place = loop {
+            if !waited {
+                break Arc::clone(&self.free).try_acquire_owned().ok()?;
+            }
             self.make_room();
             match timeout(PLACE_MOST.1, Arc::clone(&self.free).acquire_owned()).await {
                 Ok(place) => break place.ok()?,
@@ -224,7 +252,9 @@
         }
         let mut timer = pin!(sleep(Use::Silent.most()));
         loop {
-            self.commands(&mut input).await;
+            if !self.commands(&mut input).await {
+                return;
+            }
             let long = self.ready(&mut output);
             if !output.is_empty() {
                 if !self.write(&output).await {
@@ -244,7 +274,7 @@
                 self.answered = true;
             }
             if self.last && self.owed.is_empty() {
-                let _ = timeout(LINGER.0, self.linger()).await;
+                let _ = timeout(LINGER.0, linger(&mut self.stream)).await;
                 return;
             }
             if closing.is_cancelled() {
@@ -254,29 +284,33 @@
             // elsewhere.
             let read_on = self.close_from.is_none_or(|since| since.elapsed() < READ_ON);
             let reading = !self.last && self.owed.len() < PIPELINE_MOST && read_on;
+            // Danger: a client that sends many commands and goes, unseen behind those that wait.
+            let ahead = !self.last && read_on && input.len() < AHEAD_MOST;
             if self.note(&input, reading) {
                 timer.as_mut().reset(Instant::now() + WHOLE_MOST);
             }
             if self.may_close() && !(read_on && self.more(&mut input)) {
-                let _ = timeout(LINGER.0, self.linger()).await;
+                let _ = timeout(LINGER.0, linger(&mut self.stream)).await;
                 return;
             }
             self.answered = false;
             if input.is_empty() {
                 empty(&mut input);
             }
-            if reading {
-                resp::make_room(&mut input);
-            }
             tokio::select! {
                 answer = next(&mut self.owed) => {
                     self.owed.pop_front();
                     self.owed.push_front(Owed::Now(answer));
                 }
-                read = self.stream.read_buf(&mut input), if reading => match read {
-                    Ok(0) | Err(_) => return,
-                    Ok(_) => {}
-                },
+                read = self.stream.readable(), if reading || ahead => {
+                    resp::make_room(&mut input);
+                    match read.and_then(|()| self.stream.try_read_buf(&mut input)) {
+                        Ok(n) if n > 0 => {}
+                        Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                        _ => return,
+                    }
+                }
+                () = ended(&self.stream), if !reading => return,
                 () = closing.cancelled(), if self.close_from.is_none() => {
                     timer.as_mut().reset(Instant::now() + QUIET_ON);
                 }
@@ -335,8 +369,8 @@
         quiet.or(self.begun.map(|since| since + WHOLE_MOST))
     }
 
-    /// Takes the whole commands off the input.
-    async fn commands(&mut self, input: &mut BytesMut) {
+    /// Takes the whole commands off the input; tells whether the client is still there.
+    async fn commands(&mut self, input: &mut BytesMut) -> bool {
         while !self.last && self.owed.len() < PIPELINE_MOST {
             let frame = match resp::next(input) {
                 Ok(Some(frame)) => {
@@ -344,12 +378,12 @@
                     self.seat.commands.fetch_add(1, Ordering::Relaxed);
                     frame
                 }
-                Ok(None) => return,
+                Ok(None) => return true,
                 Err(malformed) => {
                     input.clear();
                     self.last = true;
                     self.owed.push_back(Owed::Now(Answer::Unknown(malformed.0)));
-                    return;
+                    return true;
                 }
             };
             let terms = Arc::clone(&self.clients.terms.borrow());
@@ -360,7 +394,12 @@
                 Ok(Command::Call(mut call)) => {
                     // Danger: requests that fill the memory. Reading stops first, then they are refused.
                     let room = Arc::clone(&self.clients.room).acquire_many_owned(call.size() as u32);
-                    let Ok(Ok(room)) = timeout(ROOM_MOST, room).await else {
+                    let room = tokio::select! {
+                        biased;
+                        room = timeout(ROOM_MOST, room) => room,
+                        () = ended(&self.stream) => return false,
+                    };
+                    let Ok(Ok(room)) = room else {
                         self.owed.push_back(Owed::Now(Answer::Refused(None)));
                         continue;
                     };
@@ -374,6 +413,7 @@
             };
             self.owed.push_back(owed);
         }
+        true
     }
 
     /// Appends the answers that are there and have none before them. Of a value that comes in pieces, the
@@ -405,7 +445,13 @@
     /// Writes the pieces of a value as they come; tells whether it is whole.
     async fn pass(&mut self, mut long: Long) -> bool {
         let mut left = long.length;
-        while let Some(piece) = long.pieces.recv().await {
+        loop {
+            let piece = tokio::select! {
+                biased;
+                piece = long.pieces.recv() => piece,
+                () = ended(&self.stream) => return false,
+            };
+            let Some(piece) = piece else { break };
             left = left.saturating_sub(piece.len());
             if !self.write(&piece).await {
                 return false;
@@ -414,11 +460,17 @@
         left == 0 && self.write(b"\r\n").await
     }
 
-    /// Writes; tells whether the client took it. Danger: a client that takes nothing for good. One that is
-    /// slow but takes some goes on.
+    /// Writes; tells whether the client took it. Danger: a client that takes nothing for good, or has gone
+    /// while other requests of its wait. One that is slow but takes some goes on.
     async fn write(&mut self, mut bytes: &[u8]) -> bool {
         while !bytes.is_empty() {
-            match timeout(WRITE_MOST, self.stream.write(bytes)).await {
+            let (read, mut write) = self.stream.split();
+            let written = tokio::select! {
+                biased;
+                written = timeout(WRITE_MOST, write.write(bytes)) => written,
+                () = ended(read.as_ref()) => return false,
+            };
+            match written {
                 Ok(Ok(n)) if n > 0 => bytes = &bytes[n..],
                 _ => return false,
             }
@@ -432,20 +484,6 @@
         !self.last && matches!(self.stream.try_read_buf(input), Ok(n) if n > 0)
     }
 
-    /// Danger: bytes that nobody reads when the connection closes. They reset it, and the client loses
-    /// the last answer.
-    async fn linger(&mut self) -> std::io::Result<()> {
-        self.stream.shutdown().await?;
-        let (mut unread, mut left) = ([0; 4096], LINGER.1);
-        while left > 0 {
-            match self.stream.read(&mut unread).await? {
-                0 => break,
-                n => left = left.saturating_sub(n),
-            }
-        }
-        Ok(())
-    }
-
     /// Tells of the requests whose client is gone.
     async fn left(&mut self) {
         for owed in self.owed.drain(..) {
@@ -464,6 +502,32 @@
     buffer.clear();
 }
 
+/// Danger: bytes that nobody reads when the connection closes. They reset it, and the client loses the last
+/// answer.
+async fn linger(stream: &mut TcpStream) -> std::io::Result<()> {
+    stream.shutdown().await?;
+    let (mut unread, mut left) = ([0; 4096], LINGER.1);
+    while left > 0 {
+        match stream.read(&mut unread).await? {
+            0 => break,
+            n => left = left.saturating_sub(n),
+        }
+    }
+    Ok(())
+}
+
+/// Waits until the client has ended its side, also behind bytes that nobody reads.
+async fn ended(stream: &TcpStream) {
+    // Readiness for what is never sent: it comes with the end alone.
+    while let Ok(ready) = stream.ready(Interest::PRIORITY).await {
+        if ready.is_read_closed() {
+            return;
+        }
+        // Danger: urgent bytes, waited for in a loop that never rests.
+        sleep(ENDED_LOOK).await;
+    }
+}
+
 /// The first answer that is owed, when it is there.
 async fn next(owed: &mut VecDeque<Owed>) -> Answer {
     match owed.front_mut() {
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -134,6 +134,8 @@
     room: Arc<Semaphore>,
     /// The same of values that are passed on as they come.
     passing: Arc<Semaphore>,
+    /// What comes has to be answered by then, ms: the gateway ends.
+    ends_ms: f64,
     /// What follows from actions at once.
     next: VecDeque<Input>,
     actions: Vec<Action>,
@@ -167,6 +169,7 @@
             inbox,
             room,
             passing,
+            ends_ms: f64::MAX,
             next: VecDeque::new(),
             actions: Vec::new(),
         }
@@ -267,7 +270,9 @@
                 // Fails only when whoever asked is gone.
                 let _ = say.send(answer);
             }
+            Input::Ending { by_ms } => self.ends_ms = by_ms,
             Input::FailAll => {
+                self.ends_ms = f64::MIN;
                 let ids: Vec<u64> = self.held.keys().copied().collect();
                 for id in ids {
                     self.answer(id, Answer::Failed);
@@ -293,7 +298,7 @@
             return;
         }
         let now = self.clock.now_ms();
-        let expires_ms = now + (call.wait_ms - MARGIN_MS).max(0.0);
+        let expires_ms = (now + (call.wait_ms - MARGIN_MS).max(0.0)).min(self.ends_ms);
         let request = Request {
             id,
             customer: call.customer,
--- a/crates/gateway/src/input.rs
+++ b/crates/gateway/src/input.rs
@@ -64,7 +64,11 @@
         ask: GatewayAsk,
         say: oneshot::Sender<GatewaySay>,
     },
-    /// The gateway is about to end: what is still open fails now.
+    /// The gateway is told to end: what comes from now on has to be answered by a moment, Unix time in ms.
+    Ending {
+        by_ms: f64,
+    },
+    /// The gateway is about to end: what is still open fails now, and what comes is refused.
     FailAll,
 }
 
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -59,6 +59,8 @@
 const DRAIN_MOST_MS: f64 = 3_000.0;
 /// Part of the 0.7 s between that and the kill that the drain may use.
 const DRAIN_MORE: Duration = Duration::from_millis(300);
+/// The last part of the drain, in which no answer is waited for.
+const LAST_WORD: Duration = Duration::from_millis(50);
 /// Orders and calls of operators that may wait; there are few, one after another.
 const CALLS: usize = 32;
 /// Names the descriptor of the clients' socket, where the platform holds it.
@@ -285,13 +287,14 @@
         }
     }
 
-    let closing = CancellationToken::new();
+    let (closing, shut) = (CancellationToken::new(), CancellationToken::new());
     let clients = Arc::new(Clients {
         terms: terms.clone(),
         inbox: inbox.clone(),
         room,
         last: AtomicU64::new(0),
         closing: closing.clone(),
+        shut: shut.clone(),
         drained,
         tasks: tasks.clone(),
     });
@@ -310,13 +313,16 @@
     if others > 0 {
         sleep(keeper::SPREAD).await;
     }
-    let accepting = tokio::spawn(clients.accept(listener, seats, places));
+    let mut accepting = tokio::spawn(clients.accept(listener, seats, places));
     stage.serves();
     terminate.recv().await;
     stage.ends();
     let deadline_ms = terms.borrow().settings.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
     let drain = Duration::from_secs_f64(deadline_ms.min(DRAIN_MOST_MS) / 1000.0) + DRAIN_MORE;
     let end = Instant::now() + drain;
+    // Danger: a request that is begun when it can't end in time.
+    let by_ms = clock.now_ms() + (drain - LAST_WORD).as_secs_f64() * 1000.0;
+    let _ = inbox.send(Input::Ending { by_ms }).await;
     // Danger: connections that this process takes though another one could, and ends.
     if stage.others() > 0 {
         accepting.abort();
@@ -324,7 +330,10 @@
     sleep(drain.saturating_sub(CLOSING).max(ACCEPT_ON.min(drain))).await;
     closing.cancel();
     sleep_until((Instant::now() + QUIET_ON).min(end)).await;
-    accepting.abort();
+    shut.cancel();
+    if timeout_at(end, &mut accepting).await.is_err() {
+        accepting.abort();
+    }
     tasks.close();
     let all = tokio::select! {
         () = tasks.wait() => true,
--- a/crates/gateway/tests/endings.rs
+++ b/crates/gateway/tests/endings.rs
@@ -4,6 +4,7 @@
 #[path = "support/net.rs"]
 mod net;
 
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
@@ -120,6 +121,52 @@
     }
 }
 
+/// Danger: a client that writes more commands than may wait, and goes; its end stands behind what is not
+/// read.
+#[test]
+fn the_end_of_a_client_shows_behind_commands_that_nobody_reads_yet() {
+    // A few more than may wait, and more than is read ahead.
+    for commands in [33, 400] {
+        let rig = Rig::with(1, |config| config["settings"]["profiles"][0]["deadline-ms"] = json!(600_000.0));
+        let mut client = rig.gateway.client();
+        let all: Vec<u8> =
+            (1..=commands).flat_map(|id| command(&words(&call(id, "safe", "free", 1, 600_000)))).collect();
+        client.write(&all);
+        let arrived: Vec<Arrived> = (0..32).map(|_| rig.next().1).collect();
+        drop(client);
+        arrived.iter().for_each(Arrived::closed);
+        assert!(rig.idle(), "a command behind them was sent on");
+    }
+}
+
+/// Danger: a client that goes while one of its commands waits for room in the memory.
+#[test]
+fn the_end_of_a_client_shows_while_a_command_waits_for_room() {
+    // Room for 256 KiB, and most of it taken.
+    let rig = Rig::with(1, |config| {
+        config["limits"]["memory_mb"] = json!(1);
+        config["settings"]["profiles"][0]["deadline-ms"] = json!(600_000.0);
+        config["settings"]["profiles"][2]["deadline-ms"] = json!(600_000.0);
+    });
+    let mut large = rig.gateway.client();
+    for id in 1..5 {
+        let mut words_of = call(id, "unsafe", "free", 1, 600_000);
+        words_of[4] = "x".repeat(60_000);
+        large.send(&words(&words_of));
+    }
+    let _held: Vec<Arrived> = (1..5).map(|_| rig.next().1).collect();
+    // Some find room, and each of the others waits for a quarter of a second.
+    let mut client = rig.gateway.client();
+    let all: Vec<u8> =
+        (10..42).flat_map(|id| command(&words(&call(id, "safe", "free", 1, 600_000)))).collect();
+    client.write(&all);
+    let (_, first) = rig.next();
+    drop(client);
+    let gone = Instant::now();
+    first.closed();
+    assert!(gone.elapsed() < Duration::from_millis(1_500), "{:?}", gone.elapsed());
+}
+
 /// Danger: a second answer that comes some milliseconds after the first, taken for that to the next request.
 #[test]
 fn a_connection_that_has_just_answered_rests_before_the_next_request() {
@@ -140,3 +187,95 @@
     }
     assert_eq!(used_at_once, 0, "of 50 were written behind an answer at once");
 }
+
+/// Danger: commands that are read in the last moment, sent on, and lost as the process ends.
+#[test]
+fn what_comes_when_the_drain_ends_is_answered_or_not_sent_on() {
+    let mut rig = Rig::with(1, |_| {});
+    let mut client = rig.gateway.client();
+    assert_eq!(client.ask(&["PING"]), "+PONG");
+    rig.gateway.terminate();
+    // Twice what may wait: the second half is read as the first fails.
+    let all: Vec<u8> = (1..=64).flat_map(|id| command(&words(&call(id, "safe", "free", 1, 8000)))).collect();
+    client.write(&all);
+    let mut answers = 0;
+    while client.read() != "(end)" {
+        answers += 1;
+    }
+    assert!(rig.gateway.wait().success());
+    let sent_on = std::iter::from_fn(|| rig.backends[0].taken()).count();
+    assert!(sent_on <= answers, "{sent_on} sent on, {answers} answered");
+    assert_eq!(sent_on, 32);
+}
+
+/// Danger: a backend that works on a request until long after its gateway has ended.
+#[test]
+fn a_request_of_a_gateway_that_ends_is_told_no_more_time_than_that_has() {
+    let mut rig = Rig::with(1, |_| {});
+    let mut client = rig.gateway.client();
+    assert_eq!(client.ask(&["PING"]), "+PONG");
+    let begun = Instant::now();
+    rig.gateway.terminate();
+    let told = loop {
+        client.send(&words(&call(begun.elapsed().as_micros() as u64 + 1, "safe", "free", 1, 8000)));
+        let (_, mut arrived) = rig.next();
+        let told = wait_of(&arrived.words[3]);
+        arrived.serve("fine");
+        assert_eq!(client.read(), "fine");
+        // The signal may come a moment after the first of them.
+        if told < 7_900 || begun.elapsed() > Duration::from_secs(1) {
+            break told;
+        }
+    };
+    assert!(told <= 3_300, "{told} ms");
+    assert!(rig.gateway.wait().success());
+}
+
+/// Descriptors for one client and one backend.
+fn narrow(config: &mut serde_json::Value) {
+    config["limits"]["sockets"] = json!(34);
+}
+
+/// A gateway whose one place is taken by a request that is open.
+fn taken() -> (Rig, Client, Arrived) {
+    let rig = Rig::with(1, narrow);
+    let mut kept = rig.gateway.client();
+    while kept.ask_or_end(&["PING"]) != "+PONG" {
+        kept = rig.gateway.client();
+    }
+    kept.send(&words(&call(1, "safe", "free", 1, 8000)));
+    let (_, arrived) = rig.next();
+    (rig, kept, arrived)
+}
+
+/// Danger: connections that the machine has accepted and the gateway has not, reset with the requests that
+/// were written to them.
+#[test]
+fn connections_in_the_line_when_the_drain_ends_are_answered() {
+    let (mut rig, _kept, _arrived) = taken();
+    rig.gateway.terminate();
+    // Each waits a tenth of a second for a place: they are more than the drain has time for.
+    let mut line: Vec<Client> = (0..60)
+        .map(|id| {
+            let mut client = rig.gateway.client();
+            client.send(&words(&call(100 + id, "safe", "free", 1, 8000)));
+            client
+        })
+        .collect();
+    let answers: Vec<String> = line.iter_mut().map(Client::read).collect();
+    assert!(answers.iter().all(|a| a == "-BUSY"), "{answers:?}");
+    assert!(rig.gateway.wait().success());
+}
+
+/// Danger: a connection that is turned away with its first request unread, and is reset: the answer goes with
+/// that.
+#[test]
+fn a_connection_that_is_turned_away_ends_behind_its_answer_and_is_not_reset() {
+    let (rig, _kept, _arrived) = taken();
+    let mut stream = TcpStream::connect(rig.gateway.address).expect("the gateway listens");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+    stream.write_all(&command(&words(&call(2, "safe", "free", 1, 8000)))).expect("the machine accepts");
+    let mut said = String::new();
+    stream.read_to_string(&mut said).expect("an end, no reset");
+    assert_eq!(said, "-BUSY\r\n");
+}
