The next call to discovery follows within half of the drain's grace, whatever became of the last

Need: a change counts as told 6 s after discovery had it and could be reached, whatever calls failed, were refused or given up; and at once when discovery is back from a silence. After a reset, refused or unreadable call a gateway of a fleet of 300 paused for 1 to 3 s, growing (pacing's law of shares), and a start that fell into a silence held a watch for 5 s.

- Pauses are bound by half of the time in which sends have to stop, 50 ms to 1 s, also in a large fleet.

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -22,17 +22,19 @@
 const WATCH: Duration = Duration::from_millis(4_000);
 /// How long any answer may take beyond that.
 const ANSWER: Duration = Duration::from_millis(1_000);
-/// Pause after a call that failed: the first, and the longest, of a gateway with few beside it.
+/// Pause after a call that failed: the first, and the longest, of a gateway with few beside it that may be
+/// late for news.
 const PAUSE: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(1_000));
 /// Time that discovery is taken to need for a call. Danger: all gateways of a large fleet call at once when
 /// they start, and all that are turned away again together. Harm: the more there are, the later each calls.
 const EACH: Duration = Duration::from_millis(20);
-/// Part of the time that a gateway may go on after it was told to stop in which its first call is made: the
-/// answer needs the rest.
-const START_PART: f64 = 0.5;
-/// The longest pause. What discovery has to tell counts as told 6 s later, whether or not it was asked; a
-/// call that hangs, and the answer, need the other half.
-const PAUSE_LIMIT: Duration = Duration::from_millis(3_000);
+/// Part of the time that a gateway may go on after it was told to stop in which the next call is made,
+/// whatever became of the last: the answer needs the rest.
+///
+/// Danger: a gateway that waits for seconds without a call by which it could be told, as calls failed, were
+/// turned away or given up. What discovery has by then counts as told to it. Harm: a fleet asks a discovery
+/// that is away, or too busy, that much more often, whatever its share of the calls would be.
+const SOON_PART: f64 = 0.5;
 /// Least time between watches that tell nothing; a watch goes on if the next comes within 200 ms.
 const SPACING: Duration = Duration::from_millis(100);
 /// So many lines that are left out are named at most, of one answer.
@@ -81,42 +83,31 @@
         return paced::follow(agent, known.index, calendar, clock, ordering, inbox).await;
     }
     let Known { mut index, gateways, stop_within, seed, .. } = known;
-    let mut pauses = Pauses::new(PAUSE.0, PAUSE.1, EACH, PAUSE_LIMIT, gateways, seed);
-    sleep(pauses.start(EACH, stop_within.mul_f64(START_PART), gateways)).await;
-    let (mut unreadable, mut silent) = (false, false);
-    let soon = stop_within.mul_f64(START_PART);
+    let soon = stop_within.mul_f64(SOON_PART).clamp(PAUSE.0, PAUSE.1);
+    let mut pauses = Pauses::new(PAUSE.0, PAUSE.1, EACH, soon, gateways, seed);
+    sleep(pauses.start(EACH, soon, gateways)).await;
+    let mut unreadable = false;
     loop {
-        let line = if silent {
-            reach(agent, soon, ANSWER).await.map(|(line, got)| (line, Some(got)))
-        } else {
-            Line::open(agent, ANSWER).await.map(|line| (line, None))
-        };
-        let end = match line {
+        let end = match reach(agent, index, soon, ANSWER).await {
             Some((line, got)) => session(line, got, &mut index, &inbox, &mut unreadable).await,
             None => End::Unheard,
         };
-        // Danger: a discovery that fell silent and is back, and a gateway that waits for seconds without a
-        // call by which it could be told: what is told meanwhile counts as told to it. A call that was given
-        // up has been its pause, so the next follows within the time that the start has for its first, and
-        // others so long after each. Harm: a fleet calls a silent discovery that much more often.
-        silent = matches!(end, End::Silent { .. });
-        match end {
-            End::Unheard => {}
+        let pause = match end {
+            End::Unheard => pauses.failed(),
             // Danger: another discovery at the address, with versions of its own. The list is asked for anew.
-            End::Lost { heard } | End::Silent { heard } => {
+            End::Lost { heard } => {
                 index = None;
-                if heard {
-                    pauses.answered();
-                }
+                pauses.after(heard)
             }
-            // Danger: a discovery that is too busy for this call, asked for the whole list in its place.
-            End::TurnedAway { heard } => {
-                if heard {
-                    pauses.answered();
-                }
+            // A watch that was given up has been its pause.
+            End::Silent => {
+                index = None;
+                pauses.start(EACH, soon, gateways)
             }
-        }
-        sleep(if silent { pauses.start(EACH, soon, gateways) } else { pauses.failed() }).await;
+            // Danger: a discovery that is too busy for this call, asked for the whole list in its place.
+            End::TurnedAway { heard } => pauses.after(heard),
+        };
+        sleep(pause).await;
     }
 }
 
@@ -127,25 +118,25 @@
     /// It broke, or brought what can't be read.
     Lost { heard: bool },
     /// A call on it was not answered in time.
-    Silent { heard: bool },
+    Silent,
     /// Discovery answered that it won't.
     TurnedAway { heard: bool },
 }
 
-/// Calls on one connection until one fails; `first` is what a call for the whole list on it has come to
-/// already. `index` is the version held, `unreadable` whether the last answer could not be read.
+/// Calls on one connection until one fails; `first` is what the first on it has come to. `index` is the
+/// version held, `unreadable` whether the last answer could not be read.
 async fn session<T: From<News>>(
     mut line: Line,
-    mut first: Option<Got>,
+    first: Got,
     index: &mut Option<u64>,
     inbox: &mpsc::Sender<T>,
     unreadable: &mut bool,
 ) -> End {
-    let mut heard = false;
+    let (mut heard, mut first) = (false, Some(first));
     loop {
         let changed = index.map(|i| (i, WATCH));
         let wait = if changed.is_some() { WATCH } else { Duration::ZERO };
-        let asked = Instant::now();
+        let (asked, watched) = (Instant::now(), first.is_none());
         let got = match first.take() {
             Some(got) => Ok(got),
             None => timeout(wait + ANSWER, line.get(changed)).await,
@@ -161,7 +152,7 @@
                 return End::Lost { heard };
             }
             Ok(Got::Lost) => return End::Lost { heard },
-            Err(_) => return End::Silent { heard },
+            Err(_) => return End::Silent,
         };
         (heard, *unreadable) = (true, false);
         name_wrong("discovery", &list);
@@ -180,7 +171,7 @@
             return End::Lost { heard };
         }
         // Danger: an agent that answers watches at once, asked again and again without a pause.
-        if !news && asked.elapsed() < SPACING {
+        if watched && !news && asked.elapsed() < SPACING {
             sleep(SPACING).await;
         }
     }
--- a/crates/gateway/tests/endings.rs
+++ b/crates/gateway/tests/endings.rs
@@ -279,3 +279,47 @@
     stream.read_to_string(&mut said).expect("an end, no reset");
     assert_eq!(said, "-BUSY\r\n");
 }
+
+/// Danger: a pause of seconds between calls that fail, in which discovery could tell and what it has counts
+/// as told.
+#[test]
+fn calls_to_discovery_that_fail_are_followed_within_half_of_the_drains_grace_in_any_fleet() {
+    let rig = Rig::with(1, |config| config["settings"]["group-size"] = json!(300));
+    rig.told(&[serving(0, &rig.backends[0])]);
+    for odd in [TURNED_AWAY, "{\"index\": 4"] {
+        let begun = Instant::now();
+        for _ in 0..10 {
+            rig.agent.answer(odd);
+            while !rig.agent.given() {
+                sleep(Duration::from_millis(1));
+            }
+        }
+        // A fleet of 300 would pause for 1 to 3 s, ten times.
+        assert!(begun.elapsed() < Duration::from_secs(6), "{odd}: {:?}", begun.elapsed());
+    }
+    rig.agent.tell(&list(43, true, &[serving(0, &rig.backends[0])]));
+    rig.serve_one(&mut rig.gateway.client(), 1);
+}
+
+/// Danger: a watch that is opened while discovery is silent, and held for seconds after that is back.
+#[test]
+fn a_start_into_a_silence_of_discovery_asks_on_until_it_is_answered() {
+    let rig = Rig::new();
+    rig.agent.asked(1);
+    let first = Instant::now();
+    rig.agent.asked(3);
+    // By a watch it would be 5 s and more.
+    assert!(first.elapsed() < Duration::from_secs(3), "{:?}", first.elapsed());
+    assert!(
+        rig.agent.calls().iter().all(|call| call.contains("after=1&wait_ms=0 ")),
+        "{:?}",
+        rig.agent.calls()
+    );
+    // Back: the next call is told at once, and a watch follows.
+    rig.agent.tell(&list(42, false, &[endpoint("s-0", rig.backends[0].address, 1, "DRAINING", 0.0)]));
+    assert!(rig.agent.calls().last().is_some_and(|call| call.contains("after=42&wait_ms=4000 ")));
+    let mut client = rig.gateway.client();
+    for id in 0..10 {
+        assert_eq!(rig.serve_one(&mut client, id).0, 1);
+    }
+}
--- a/crates/gateway/tests/signals.rs
+++ b/crates/gateway/tests/signals.rs
@@ -72,8 +72,7 @@
 
 /// Whole lists that begin watches.
 fn tells(agent: &Agent, backend: &StandIn) {
-    agent.answer(&list(7, true, &[serving(0, backend)]).to_string());
-    agent.asked(2);
+    agent.tell(&list(7, true, &[serving(0, backend)]));
 }
 
 #[test]
