--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -22,19 +22,17 @@
 const WATCH: Duration = Duration::from_millis(4_000);
 /// How long any answer may take beyond that.
 const ANSWER: Duration = Duration::from_millis(1_000);
-/// Pause after a call that failed: the first, and the longest, of a gateway with few beside it that may be
-/// late for news.
+/// Pause after a call that failed: the first, and the longest, of a gateway with few beside it.
 const PAUSE: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(1_000));
 /// Time that discovery is taken to need for a call. Danger: all gateways of a large fleet call at once when
 /// they start, and all that are turned away again together. Harm: the more there are, the later each calls.
 const EACH: Duration = Duration::from_millis(20);
-/// Part of the time that a gateway may go on after it was told to stop in which the next call is made,
-/// whatever became of the last: the answer needs the rest.
-///
-/// Danger: a gateway that waits for seconds without a call by which it could be told, as calls failed, were
-/// turned away or given up. What discovery has by then counts as told to it. Harm: a fleet asks a discovery
-/// that is away, or too busy, that much more often, whatever its share of the calls would be.
-const SOON_PART: f64 = 0.5;
+/// Part of the time that a gateway may go on after it was told to stop in which its first call is made: the
+/// answer needs the rest.
+const START_PART: f64 = 0.5;
+/// The longest pause. What discovery has to tell counts as told 6 s later, whether or not it was asked; a
+/// call that hangs, and the answer, need the other half.
+const PAUSE_LIMIT: Duration = Duration::from_millis(3_000);
 /// Least time between watches that tell nothing; a watch goes on if the next comes within 200 ms.
 const SPACING: Duration = Duration::from_millis(100);
 /// So many lines that are left out are named at most, of one answer.
@@ -83,31 +81,42 @@
         return paced::follow(agent, known.index, calendar, clock, ordering, inbox).await;
     }
     let Known { mut index, gateways, stop_within, seed, .. } = known;
-    let soon = stop_within.mul_f64(SOON_PART).clamp(PAUSE.0, PAUSE.1);
-    let mut pauses = Pauses::new(PAUSE.0, PAUSE.1, EACH, soon, gateways, seed);
-    sleep(pauses.start(EACH, soon, gateways)).await;
-    let mut unreadable = false;
+    let mut pauses = Pauses::new(PAUSE.0, PAUSE.1, EACH, PAUSE_LIMIT, gateways, seed);
+    sleep(pauses.start(EACH, stop_within.mul_f64(START_PART), gateways)).await;
+    let (mut unreadable, mut silent) = (false, false);
+    let soon = stop_within.mul_f64(START_PART);
     loop {
-        let end = match reach(agent, index, soon, ANSWER).await {
+        let line = if silent {
+            reach(agent, soon, ANSWER).await.map(|(line, got)| (line, Some(got)))
+        } else {
+            Line::open(agent, ANSWER).await.map(|line| (line, None))
+        };
+        let end = match line {
             Some((line, got)) => session(line, got, &mut index, &inbox, &mut unreadable).await,
             None => End::Unheard,
         };
-        let pause = match end {
-            End::Unheard => pauses.failed(),
+        // Danger: a discovery that fell silent and is back, and a gateway that waits for seconds without a
+        // call by which it could be told: what is told meanwhile counts as told to it. A call that was given
+        // up has been its pause, so the next follows within the time that the start has for its first, and
+        // others so long after each. Harm: a fleet calls a silent discovery that much more often.
+        silent = matches!(end, End::Silent { .. });
+        match end {
+            End::Unheard => {}
             // Danger: another discovery at the address, with versions of its own. The list is asked for anew.
-            End::Lost { heard } => {
-                index = None;
-                pauses.after(heard)
-            }
-            // A watch that was given up has been its pause.
-            End::Silent => {
+            End::Lost { heard } | End::Silent { heard } => {
                 index = None;
-                pauses.start(EACH, soon, gateways)
+                if heard {
+                    pauses.answered();
+                }
             }
             // Danger: a discovery that is too busy for this call, asked for the whole list in its place.
-            End::TurnedAway { heard } => pauses.after(heard),
-        };
-        sleep(pause).await;
+            End::TurnedAway { heard } => {
+                if heard {
+                    pauses.answered();
+                }
+            }
+        }
+        sleep(if silent { pauses.start(EACH, soon, gateways) } else { pauses.failed() }).await;
     }
 }
 
@@ -118,25 +127,25 @@
     /// It broke, or brought what can't be read.
     Lost { heard: bool },
     /// A call on it was not answered in time.
-    Silent,
+    Silent { heard: bool },
     /// Discovery answered that it won't.
     TurnedAway { heard: bool },
 }
 
-/// Calls on one connection until one fails; `first` is what the first on it has come to. `index` is the
-/// version held, `unreadable` whether the last answer could not be read.
+/// Calls on one connection until one fails; `first` is what a call for the whole list on it has come to
+/// already. `index` is the version held, `unreadable` whether the last answer could not be read.
 async fn session<T: From<News>>(
     mut line: Line,
-    first: Got,
+    mut first: Option<Got>,
     index: &mut Option<u64>,
     inbox: &mpsc::Sender<T>,
     unreadable: &mut bool,
 ) -> End {
-    let (mut heard, mut first) = (false, Some(first));
+    let mut heard = false;
     loop {
         let changed = index.map(|i| (i, WATCH));
         let wait = if changed.is_some() { WATCH } else { Duration::ZERO };
-        let (asked, watched) = (Instant::now(), first.is_none());
+        let asked = Instant::now();
         let got = match first.take() {
             Some(got) => Ok(got),
             None => timeout(wait + ANSWER, line.get(changed)).await,
@@ -152,7 +161,7 @@
                 return End::Lost { heard };
             }
             Ok(Got::Lost) => return End::Lost { heard },
-            Err(_) => return End::Silent,
+            Err(_) => return End::Silent { heard },
         };
         (heard, *unreadable) = (true, false);
         name_wrong("discovery", &list);
@@ -171,7 +180,7 @@
             return End::Lost { heard };
         }
         // Danger: an agent that answers watches at once, asked again and again without a pause.
-        if watched && !news && asked.elapsed() < SPACING {
+        if !news && asked.elapsed() < SPACING {
             sleep(SPACING).await;
         }
     }
--- a/crates/gateway/src/discovery/line.rs
+++ b/crates/gateway/src/discovery/line.rs
@@ -19,7 +19,7 @@
 /// The longest answer.
 const BODY_MOST: usize = 4 << 20;
 /// Calls into a silent discovery that are out at once, at most.
-const OUT_MOST: u32 = 8;
+const OUT_MOST: u32 = 4;
 
 /// A connection to discovery.
 pub struct Line {
@@ -75,20 +75,14 @@
     }
 }
 
-/// Begins to follow a discovery: asks for what changed since a version, or the whole list, with no wait,
-/// until it says anything. Each call is on a connection of its own: the next follows after `apart`, an eighth
-/// of `within` at least, while those before it stay open for `within`. None where no connection comes up.
+/// Asks a discovery that fell silent for the whole list until it says anything, each time on a connection of
+/// its own: the next call follows after `apart`, a fourth of `within` at least, while those before it stay
+/// open for `within`. None where no connection comes up.
 ///
-/// Danger: a call that went into a silence is not answered when discovery is back, and what is told meanwhile
-/// counts as told; one that may wait can't be told from one that is not answered. Harm: a discovery that is
-/// slower than `apart` is asked up to eight times in place of once.
-pub async fn reach(
-    agent: SocketAddr,
-    since: Option<u64>,
-    apart: Duration,
-    within: Duration,
-) -> Option<(Line, Got)> {
-    let changed = since.map(|index| (index, Duration::ZERO));
+/// Danger: a call that went into the silence is not answered when discovery is back, and what is told
+/// meanwhile counts as told. Harm: a discovery that is slower than `apart` is asked for four lists in place
+/// of one.
+pub async fn reach(agent: SocketAddr, apart: Duration, within: Duration) -> Option<(Line, Got)> {
     let mut out = JoinSet::new();
     let mut next = interval(apart.max(within / OUT_MOST));
     // Danger: a gateway that was stopped, and makes all the calls of that time when it goes on.
@@ -104,7 +98,7 @@
             _ = next.tick() => {
                 out.spawn(timeout(within, async move {
                     let mut line = Line::open(agent, within).await?;
-                    let got = line.get(changed).await;
+                    let got = line.get(None).await;
                     Some((line, got))
                 }));
             }
--- a/crates/pacing/src/lib.rs
+++ b/crates/pacing/src/lib.rs
@@ -67,14 +67,6 @@
         pause.mul_f64(0.5 + chance)
     }
 
-    /// The pause after a call that failed, where one before it on the same connection was `heard` or not.
-    pub fn after(&mut self, heard: bool) -> Duration {
-        if heard {
-            self.answered();
-        }
-        self.failed()
-    }
-
     /// The longest pause there may be.
     #[must_use]
     pub fn longest(&self) -> Duration {
