--- a/crates/gateway/tests/endings.rs
+++ b/crates/gateway/tests/endings.rs
@@ -46,6 +46,16 @@
 
 /// Whether a process has an established connection to a port.
 fn connected(pid: u32, port: &str) -> bool {
+    has(pid, port, "01")
+}
+
+/// Whether a process waits for a connection to a port to come up.
+fn dials(pid: u32, port: &str) -> bool {
+    has(pid, port, "02")
+}
+
+/// Whether a process has a connection to a port in a state, as the system numbers them.
+fn has(pid: u32, port: &str, state: &str) -> bool {
     let held: Vec<String> = std::fs::read_dir(format!("/proc/{pid}/fd"))
         .expect("it runs")
         .filter_map(|fd| std::fs::read_link(fd.ok()?.path()).ok())
@@ -55,7 +65,7 @@
     text.lines().skip(1).any(|line| {
         let columns: Vec<&str> = line.split_whitespace().collect();
         columns.get(2).is_some_and(|to| to.ends_with(port))
-            && columns.get(3) == Some(&"01")
+            && columns.get(3) == Some(&state)
             && columns.get(9).is_some_and(|inode| held.contains(&format!("socket:[{inode}]")))
     })
 }
@@ -167,6 +177,63 @@
     assert!(gone.elapsed() < Duration::from_millis(1_500), "{:?}", gone.elapsed());
 }
 
+/// Danger: a request that waits for a total, and is sent on when that comes though its client has gone.
+#[test]
+fn a_request_whose_client_left_is_not_sent_on_when_its_total_comes() {
+    let rig = Rig::with(1, |config| {
+        roomy(config);
+        config["settings"]["family-info"]["count-wait-ms"] = json!(20_000.0);
+        for class in config["settings"]["profiles"].as_array_mut().expect("classes") {
+            (class["aim-ms"], class["deadline-ms"]) = (json!(600_000.0), json!(600_000.0));
+        }
+    });
+    let mut client = rig.gateway.client();
+    client.send(&words(&call(1, "safe", "paid", 60, 600_000)));
+    let mut owed = rig.counter.next();
+    assert!(rig.idle(), "it did not wait for the total");
+    drop(client);
+    assert_eq!(rig.gateway.client().ask(&["PING"]), "+PONG");
+    sleep(Duration::from_millis(100));
+    owed.say("ok 60\r\n");
+    assert!(rig.backends[0].within(QUIET).is_none(), "sent on for nobody");
+}
+
+/// A client's end of sending alone is its end: the other side of a connection that was closed looks the same.
+#[test]
+fn a_client_that_ends_its_sending_has_gone() {
+    let rig = Rig::with(1, |config| config["settings"]["profiles"][0]["deadline-ms"] = json!(600_000.0));
+    let mut stream = TcpStream::connect(rig.gateway.address).expect("the gateway listens");
+    stream.write_all(&command(&words(&call(1, "safe", "free", 1, 600_000)))).expect("it reads");
+    let (_, arrived) = rig.next();
+    stream.shutdown(std::net::Shutdown::Write).expect("it is open");
+    arrived.closed();
+}
+
+/// Danger: a client that goes while it takes none of an answer, and its other requests that wait behind that.
+#[test]
+fn the_end_of_a_client_shows_while_an_answer_is_written() {
+    let rig = Rig::with(1, |config| config["settings"]["profiles"][0]["deadline-ms"] = json!(600_000.0));
+    let mut stream = TcpStream::connect(rig.gateway.address).expect("the gateway listens");
+    for id in 1..3 {
+        stream.write_all(&command(&words(&call(id, "safe", "free", 1, 600_000)))).expect("it reads");
+    }
+    let (first, second) = (rig.next().1, rig.next().1);
+    let (mut first, second) = if first.words[2].ends_with('1') { (first, second) } else { (second, first) };
+    // Far more than fits between the two; who writes it is held up, so it is a thread of its own.
+    std::thread::spawn(move || {
+        let value = "x".repeat(64 << 20);
+        let _ = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| first.serve(&value)));
+    });
+    let mut begun = [0; 16];
+    stream.read_exact(&mut begun).expect("the answer begins");
+    sleep(QUIET);
+    let gone = Instant::now();
+    stream.shutdown(std::net::Shutdown::Write).expect("it is open");
+    second.closed();
+    // A client that takes nothing is given up after 10 s.
+    assert!(gone.elapsed() < Duration::from_secs(5), "{:?}", gone.elapsed());
+}
+
 /// Danger: a second answer that comes some milliseconds after the first, taken for that to the next request.
 #[test]
 fn a_connection_that_has_just_answered_rests_before_the_next_request() {
@@ -304,3 +371,91 @@
     stream.read_to_string(&mut said).expect("an end, no reset");
     assert_eq!(said, "-BUSY\r\n");
 }
+
+/// Danger: an answer with no length whose connection is reset, taken for a whole one: a backend that it does
+/// not name would be gone.
+#[test]
+fn an_answer_of_discovery_with_no_length_that_is_reset_is_none() {
+    let agent = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let (counter, backends) = (StandIn::counter(), [StandIn::backend(), StandIn::backend()]);
+    let known: Vec<_> = (0..).zip(&backends).map(|(i, b)| serving(i, b)).collect();
+    let config = config(agent.local_addr().expect("an address"), counter.address, &known);
+    let gateway = Gateway::start(&config);
+    let body = list(41, true, &known[..1]).to_string();
+    for _ in 0..3 {
+        let (mut call, _) = agent.accept().expect("the gateway calls");
+        // Its request is not read, so that the end is a reset.
+        call.peek(&mut [0; 8]).expect("a request");
+        call.write_all(format!("HTTP/1.1 200 OK\r\n\r\n{body}").as_bytes()).expect("it reads");
+    }
+    // Asked once more, so it was not taken.
+    let _next = agent.accept().expect("the gateway calls again");
+    let mut client = gateway.client();
+    let mut met = [0; 2];
+    for id in 0..40 {
+        client.send(&words(&call(id, "safe", "free", 1, 8000)));
+        let (place, mut arrived) = next_of(&backends.iter().collect::<Vec<_>>());
+        arrived.serve("fine");
+        assert_eq!(client.read(), "fine");
+        met[place] += 1;
+    }
+    assert!(met[1] > 0, "{met:?}");
+}
+
+/// Danger: a probe whose connection comes up late, written to a backend that drains by then.
+#[test]
+fn a_probe_whose_connection_comes_up_after_the_drain_is_not_written() {
+    let (stuck, other) = (Stuck::new(), StandIn::backend());
+    let ready = |status| endpoint("s-0", stuck.address, 1, status, 0.0);
+    let both = [ready("SERVING"), serving(1, &other)];
+    let mut rig = Rig::with(1, |config| {
+        config["known"]["endpoints"] = json!(both);
+        config["settings"]["policy-limits"]["connect-timeout-ms"] = json!(2_500.0);
+    });
+    rig.told(&both);
+    rig.backends = vec![other];
+    let pid = rig.gateway.id();
+    let port = format!(":{:04X}", stuck.address.port());
+    // Requests go there and fail until it is ejected; the dial that follows a while without one is a probe's.
+    let (begun, mut last, mut id) = (Instant::now(), Instant::now(), 0);
+    let mut clients: Vec<Client> = (0..8).map(|_| rig.gateway.client()).collect();
+    loop {
+        assert!(begun.elapsed() < PATIENCE, "no probe came");
+        let dials = dials(pid, &port);
+        if dials && last.elapsed() > Duration::from_millis(1_000) {
+            break;
+        }
+        last = if dials { Instant::now() } else { last };
+        for client in &mut clients {
+            id += 1;
+            client.send(&words(&call(id, "safe", "free", 1, 8000)));
+        }
+        for client in &mut clients {
+            while client.try_read().is_none() {
+                rig.backends[0]
+                    .within(Duration::from_millis(1))
+                    .into_iter()
+                    .for_each(|mut a| a.serve("fine"));
+            }
+        }
+        sleep(Duration::from_millis(10));
+    }
+    rig.agent.tell(&list(42, false, &[ready("DRAINING")]));
+    // Behind the two that fill its line comes the gateway's, which ends with nothing written.
+    stuck.listener.set_nonblocking(true).expect("a listener");
+    let (begun, mut accepted) = (Instant::now(), Vec::new());
+    while accepted.len() < 3 {
+        assert!(begun.elapsed() < PATIENCE, "the gateway's connection never came up");
+        match stuck.listener.accept() {
+            Ok((stream, _)) => accepted.push(stream),
+            Err(_) => sleep(Duration::from_millis(5)),
+        }
+    }
+    let late = &mut accepted[2];
+    late.set_nonblocking(false).expect("it is open here");
+    late.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+    match late.read(&mut [0; 64]) {
+        Ok(n) => assert_eq!(n, 0, "probed while it drains"),
+        Err(e) => assert_eq!(e.kind(), std::io::ErrorKind::ConnectionReset, "{e}"),
+    }
+}
