--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -561,7 +561,12 @@
     std::process::exit(code)
 }
 
+/// Attempts to start a gateway: another process may have taken one of its ports.
+const START_ATTEMPTS: usize = 5;
+
 /// Starts the gateways of a small deployment.
 pub fn start_gateways(root: &Path, folder: &Path, site: &Site, count: usize) -> Vec<Gateway> {
-    (0..count).map(|me| Gateway::start(root, folder, site, me, count).expect("start a gateway")).collect()
+    let start = |me| Gateway::start(root, folder, site, me, count).ok();
+    let first_start = |me| (0..START_ATTEMPTS).find_map(|_| start(me)).expect("start a gateway");
+    (0..count).map(first_start).collect()
 }
