--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -220,7 +220,28 @@
 // Backends
 
 /// What a backend does with a request. Arguments: the backend's number, the command, the connection.
-pub type Handler = dyn Fn(usize, &[String], &mut TcpStream) -> io::Result<()> + Send + Sync;
+pub type Handler = dyn Fn(usize, &[String], &mut BackendConnection) -> io::Result<()> + Send + Sync;
+
+/// A backend's side of a connection.
+pub struct BackendConnection {
+    stream: TcpStream,
+    reader: BufReader<TcpStream>,
+}
+
+impl BackendConnection {
+    pub fn write_all(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.stream.write_all(bytes)
+    }
+
+    /// Whether no byte of another command has come.
+    pub fn nothing_waits(&self) -> io::Result<bool> {
+        self.stream.set_nonblocking(true)?;
+        let peeked = self.stream.peek(&mut [0; 1]);
+        self.stream.set_nonblocking(false)?;
+        let is_silent = matches!(peeked, Err(error) if error.kind() == io::ErrorKind::WouldBlock);
+        Ok(is_silent && self.reader.buffer().is_empty())
+    }
+}
 
 /// The value that backends make for a request.
 pub fn value_of(id: &str) -> Vec<u8> {
@@ -245,15 +266,16 @@
         .collect()
 }
 
-fn serve_backend(number: usize, mut stream: TcpStream, handler: &Handler) -> io::Result<()> {
-    let mut reader = BufReader::new(stream.try_clone()?);
+fn serve_backend(number: usize, stream: TcpStream, handler: &Handler) -> io::Result<()> {
+    let reader = BufReader::new(stream.try_clone()?);
+    let mut connection = BackendConnection { stream, reader };
     loop {
-        let command = read_command(&mut reader)?;
+        let command = read_command(&mut connection.reader)?;
         match command.first().map(String::as_str) {
-            Some("API.READ" | "API.WRITE") => handler(number, &command, &mut stream)?,
-            Some("PING") => stream.write_all(b"+PONG\r\n")?,
-            Some("CLIENT" | "SELECT") => stream.write_all(b"+OK\r\n")?,
-            _ => stream.write_all(b"-ERR unknown\r\n")?,
+            Some("API.READ" | "API.WRITE") => handler(number, &command, &mut connection)?,
+            Some("PING") => connection.write_all(b"+PONG\r\n")?,
+            Some("CLIENT" | "SELECT") => connection.write_all(b"+OK\r\n")?,
+            _ => connection.write_all(b"-ERR unknown\r\n")?,
         }
     }
 }
--- a/review/standins/cut_off.rs
+++ b/review/standins/cut_off.rs
@@ -3,8 +3,8 @@
 
 mod common;
 
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::io::Read;
+use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, OnceLock};
@@ -87,7 +87,7 @@
 /// A backend that gives each value steadily and whole, the last bytes at a set time after SIGTERM.
 fn backend(record: &Arc<Record>, term_at: &Arc<OnceLock<Instant>>) -> Arc<Handler> {
     let (record, term_at, requests) = (Arc::clone(record), Arc::clone(term_at), AtomicU64::new(0));
-    Arc::new(move |backend, command, stream: &mut TcpStream| {
+    Arc::new(move |backend, command, connection: &mut BackendConnection| {
         let id = &command[2];
         let number = requests.fetch_add(1, Ordering::Relaxed) as u32;
         record.line(format!("till-{backend} runs {id}"));
@@ -97,7 +97,7 @@
         let answer = encode_answer(&vec![b'x'; LONG_VALUE]);
         for (piece, bytes) in (0..).zip(answer.chunks(answer.len().div_ceil(PIECES as usize))) {
             sleep_until(first + interval * piece);
-            if let Err(error) = stream.write_all(bytes) {
+            if let Err(error) = connection.write_all(bytes) {
                 record.line(format!("till-{backend} can't give more of the value for {id}: {error}"));
                 return Err(error);
             }
--- a/review/standins/foreign_value.rs
+++ b/review/standins/foreign_value.rs
@@ -3,8 +3,7 @@
 mod common;
 
 use std::collections::BTreeMap;
-use std::io::Write;
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -69,10 +68,10 @@
 }
 
 /// A backend that serves every request. It leaves `TCP_NODELAY` off, as systems do by default, and writes the
-/// second copy of an answer right behind the first, when no other request waits on the connection.
+/// second copy of an answer right behind the first, and only if no other request waits on the connection then.
 fn backend(record: &Arc<Record>, copies: &Arc<AtomicU64>) -> Arc<Handler> {
     let (record, copies, random) = (Arc::clone(record), Arc::clone(copies), Mutex::new(Random(7)));
-    Arc::new(move |backend, command, stream: &mut TcpStream| {
+    Arc::new(move |backend, command, connection: &mut BackendConnection| {
         let id = &command[2];
         let (work_ms, copied) = {
             let mut random = random.lock().unwrap();
@@ -81,11 +80,12 @@
         thread::sleep(Duration::from_secs_f64(work_ms / 1000.0));
         let answer = encode_answer(&value_of(id));
         record.line(format!("till-{backend} ran {id}"));
-        stream.write_all(&answer)?;
-        if copied && trouble() {
+        let may_copy = copied && trouble() && connection.nothing_waits()?;
+        connection.write_all(&answer)?;
+        if may_copy && connection.nothing_waits()? {
             copies.fetch_add(1, Ordering::Relaxed);
             record.line(format!("till-{backend} wrote a second copy of its answer to {id}"));
-            stream.write_all(&answer)?;
+            connection.write_all(&answer)?;
         }
         Ok(())
     })
--- a/review/standins/unanswered.rs
+++ b/review/standins/unanswered.rs
@@ -4,7 +4,6 @@
 mod common;
 
 use std::io::{ErrorKind, Write};
-use std::net::TcpStream;
 use std::path::Path;
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -61,26 +60,26 @@
 /// A backend whose prices are long values, given in two halves.
 fn backend(record: &Arc<Record>, ran: &Arc<Mutex<Vec<String>>>) -> Arc<Handler> {
     let (record, ran) = (Arc::clone(record), Arc::clone(ran));
-    Arc::new(move |backend, command, stream: &mut TcpStream| {
+    Arc::new(move |backend, command, connection: &mut BackendConnection| {
         let (verb, id) = (&command[0], &command[2]);
         ran.lock().unwrap().push(id.clone());
         record.line(format!("till-{backend} runs {verb} {id}"));
         if verb == "API.WRITE" {
             thread::sleep(Duration::from_millis(CHARGE_MS));
-            stream.write_all(&encode_answer(&value_of(id)))?;
+            connection.write_all(&encode_answer(&value_of(id)))?;
             record.line(format!("till-{backend} has answered {id}"));
             return Ok(());
         }
         thread::sleep(Duration::from_millis(PRICE_MS));
         let answer = encode_answer(&vec![b'x'; LONG_VALUE]);
         let (first, second) = answer.split_at(answer.len() / 2);
-        stream.write_all(first)?;
+        connection.write_all(first)?;
         thread::sleep(Duration::from_millis(PAUSE_MS));
         if trouble() {
             record.line(format!("till-{backend} ends the connection in the middle of the value for {id}"));
             return Err(ErrorKind::ConnectionReset.into());
         }
-        stream.write_all(second)
+        connection.write_all(second)
     })
 }
 
