Hold a streamed value back while answers behind it could be lost with it

RESP2 can't say that a value is cut short, so the connection is closed, and every answer behind the value goes with it.

Cause: requests were forwarded behind a value that could still break off (client::stream::forward, abandon_requests). Evidence: in the record the charge's backend has answered half a second before the break, and the client sees the end 0.6 ms after it.

Change: while anything that was read stands behind a streamed value, the value is held back until it is complete, for 1.5 s at most (clients are owed what a backend gives within 2 s), not beyond 0.1 s before its deadline, and within half of the free memory budget. If it ends early then, it alone fails. Nothing is read or executed behind a streamed value. The pending answers of a connection are a module of their own.

Not mended: a value that breaks off after the hold still takes the answers behind it with it.

--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -4,6 +4,7 @@
 mod connection;
 mod idle_policy;
 mod listener;
+mod pending_answers;
 mod shutdown;
 mod stream;
 
--- a/crates/gateway/src/client/connection.rs
+++ b/crates/gateway/src/client/connection.rs
@@ -1,6 +1,5 @@
 //! A client connection: reads commands and answers them in order.
 
-use std::collections::VecDeque;
 use std::io;
 use std::pin::{pin, Pin};
 use std::sync::atomic::Ordering;
@@ -16,6 +15,7 @@
 
 use super::admission::Activity;
 use super::idle_policy::ConnectionUsage;
+use super::pending_answers::{AwaitedAnswer, PendingAnswers};
 use super::shutdown::{ConnectionState, FIRST_COMMAND_TIMEOUT, IDLE_CLOSE_DELAY};
 use super::stream::{forward, linger, peer_closed, write, Disconnected};
 use super::Clients;
@@ -36,14 +36,6 @@
 /// before more answers are encoded.
 const MAX_KEPT_BUFFER_BYTES: usize = 16 * 1024;
 
-/// The pending answer to a command.
-enum Pending {
-    /// The event loop will answer the request with this number.
-    Awaited { id: u64, answer: oneshot::Receiver<Answer> },
-    /// The answer is available.
-    Ready(Answer),
-}
-
 /// Result of writing the available answers.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum WriteResult {
@@ -65,8 +57,7 @@
     state: ConnectionState,
     input: BytesMut,
     output: BytesMut,
-    /// Pending answers, in the order of the commands.
-    pending: VecDeque<Pending>,
+    pending: PendingAnswers,
     /// When the connection became idle; `None` while a command is unanswered or partly read.
     idle_since: Option<Instant>,
     /// When the first byte of a partly read command arrived.
@@ -88,7 +79,7 @@
             state: ConnectionState::Reading,
             input: BytesMut::new(),
             output: BytesMut::new(),
-            pending: VecDeque::new(),
+            pending: PendingAnswers::default(),
             idle_since: Some(activity.opened()),
             command_since: None,
             activity,
@@ -130,7 +121,7 @@
         if self.state == ConnectionState::Reading && self.closing.is_cancelled() {
             self.state = ConnectionState::Draining { since: Instant::now() };
         }
-        let may_read = self.state.may_read();
+        let may_read = self.state.may_read() && !self.pending.is_streaming();
         let reading = may_read && self.pending.len() < MAX_PIPELINED_COMMANDS;
         // Without reading ahead, a client that sends many commands and closes would go unnoticed until the
         // unanswered ones are answered.
@@ -145,12 +136,9 @@
         if self.input.is_empty() {
             clear_and_shrink(&mut self.input);
         }
+        let has_input = !self.input.is_empty();
         tokio::select! {
-            answer = next_answer(&mut self.pending) => {
-                self.pending.pop_front();
-                self.pending.push_front(Pending::Ready(answer));
-                Ok(())
-            }
+            () = self.pending.progress(has_input) => Ok(()),
             readable = self.stream.readable(), if reading || reading_ahead => self.read(readable),
             () = peer_closed(&self.stream), if !reading => Err(Disconnected),
             () = self.closing.cancelled(), if self.state == ConnectionState::Reading => {
@@ -164,7 +152,7 @@
 
     /// Removes the complete commands from the input and begins to execute them.
     async fn parse_commands(&mut self) -> Result<(), Disconnected> {
-        while self.state != ConnectionState::Closing && self.pending.len() < MAX_PIPELINED_COMMANDS {
+        while self.may_parse() {
             let frame = match resp::next_frame(&mut self.input) {
                 Ok(Some(frame)) => frame,
                 Ok(None) => return Ok(()),
@@ -176,45 +164,57 @@
             };
             self.command_since = None;
             self.activity.count_command();
-            let pending = self.execute(frame).await?;
-            self.pending.push_back(pending);
+            self.execute(frame).await?;
         }
         Ok(())
     }
 
+    /// Whether the next command may be executed.
+    fn may_parse(&self) -> bool {
+        let has_room = self.pending.len() < MAX_PIPELINED_COMMANDS;
+        self.state != ConnectionState::Closing && has_room && !self.pending.is_streaming()
+    }
+
     /// Answers a command, or hands it to the event loop if it is a request.
-    async fn execute(&mut self, frame: BytesFrame) -> Result<Pending, Disconnected> {
+    async fn execute(&mut self, frame: BytesFrame) -> Result<(), Disconnected> {
         let service_settings = Arc::clone(&self.clients.service_settings.borrow());
-        match Command::parse(frame, &service_settings.settings, &service_settings.names) {
-            Ok(Command::Ping) if *self.clients.drained.borrow() => Ok(Pending::Ready(Answer::Drained)),
-            Ok(Command::Ping) => Ok(Pending::Ready(Answer::Pong)),
-            Ok(Command::Call(call)) => self.submit_request(call).await,
-            Err(invalid) => Ok(Pending::Ready(Answer::Invalid(invalid.0))),
-        }
+        let answer = match Command::parse(frame, &service_settings.settings, &service_settings.names) {
+            Ok(Command::Call(call)) => return self.submit_request(call).await,
+            Ok(Command::Ping) if *self.clients.drained.borrow() => Answer::Drained,
+            Ok(Command::Ping) => Answer::Pong,
+            Err(invalid) => Answer::Invalid(invalid.0),
+        };
+        self.pending.push_ready(answer);
+        Ok(())
     }
 
     /// Hands a request to the event loop, once the memory budget allows it. Meanwhile nothing is read from
     /// this connection; after [`MEMORY_TIMEOUT`] the request is rejected.
-    async fn submit_request(&mut self, mut call: Box<Call>) -> Result<Pending, Disconnected> {
+    async fn submit_request(&mut self, mut call: Box<Call>) -> Result<(), Disconnected> {
         let permit = Arc::clone(&self.clients.memory).acquire_many_owned(call.size() as u32);
         let permit = tokio::select! {
             biased;
             permit = timeout(MEMORY_TIMEOUT, permit) => permit,
             () = peer_closed(&self.stream) => return Err(Disconnected),
         };
-        let Ok(Ok(permit)) = permit else { return Ok(Pending::Ready(Answer::Rejected(None))) };
+        let Ok(Ok(permit)) = permit else {
+            self.pending.push_ready(Answer::Rejected(None));
+            return Ok(());
+        };
         call.memory_permit = Some(permit);
         let id = self.clients.last_request.fetch_add(1, Ordering::Relaxed) + 1;
         let (reply, answer) = oneshot::channel();
+        let deadline = Instant::now() + Duration::from_secs_f64(call.wait_ms / 1000.0);
         // Fails only after the event loop has ended.
         let _ = self.clients.inbox.send(Input::Request { id, call: (*call).into(), reply }).await;
-        Ok(Pending::Awaited { id, answer })
+        self.pending.push_awaited(AwaitedAnswer { id, deadline, answer });
+        Ok(())
     }
 
     /// Stops reading, and appends an error to the pending answers as the last one.
     fn close_with_error(&mut self, error: &'static str) {
         self.state = ConnectionState::Closing;
-        self.pending.push_back(Pending::Ready(Answer::Invalid(error)));
+        self.pending.push_ready(Answer::Invalid(error));
     }
 
     /// Writes the answers that are available, up to the first command that is still unanswered.
@@ -235,17 +235,7 @@
     /// Appends available answers to the output. Stops after the header of a streamed value, which it returns.
     fn encode_answers(&mut self) -> Option<StreamedValue> {
         while self.output.len() < MAX_KEPT_BUFFER_BYTES {
-            let answer = match self.pending.pop_front()? {
-                Pending::Ready(answer) => answer,
-                Pending::Awaited { id, mut answer } => match answer.try_recv() {
-                    Ok(answer) => answer,
-                    Err(oneshot::error::TryRecvError::Closed) => Answer::Failed,
-                    Err(oneshot::error::TryRecvError::Empty) => {
-                        self.pending.push_front(Pending::Awaited { id, answer });
-                        return None;
-                    }
-                },
-            };
+            let answer = self.pending.pop_ready(!self.input.is_empty())?;
             match answer {
                 Answer::Streamed(value) => {
                     value.encode_header(&mut self.output);
@@ -329,10 +319,8 @@
 
     /// Reports to the event loop that the client of the unanswered requests has disconnected.
     async fn abandon_requests(&mut self) {
-        for pending in self.pending.drain(..) {
-            if let Pending::Awaited { id, .. } = pending {
-                let _ = self.clients.inbox.send(Input::ClientDisconnected { id }).await;
-            }
+        for id in self.pending.abandon() {
+            let _ = self.clients.inbox.send(Input::ClientDisconnected { id }).await;
         }
     }
 }
@@ -344,11 +332,3 @@
     }
     buffer.clear();
 }
-
-/// Waits for the answer to the first pending command.
-async fn next_answer(pending: &mut VecDeque<Pending>) -> Answer {
-    match pending.front_mut() {
-        Some(Pending::Awaited { answer, .. }) => answer.await.unwrap_or(Answer::Failed),
-        _ => std::future::pending().await,
-    }
-}
--- a/crates/gateway/src/client/stream.rs
+++ b/crates/gateway/src/client/stream.rs
@@ -49,18 +49,16 @@
 /// Fails if the client disconnects, or the value ends early: the connection is then closed, so that the
 /// client can't mistake the value for a complete one.
 pub(super) async fn forward(stream: &mut TcpStream, mut value: StreamedValue) -> Result<(), Disconnected> {
-    let mut remaining = value.length;
     loop {
         let chunk = tokio::select! {
             biased;
-            chunk = value.chunks.recv() => chunk,
+            chunk = value.next_chunk() => chunk,
             () = peer_closed(stream) => return Err(Disconnected),
         };
         let Some(chunk) = chunk else { break };
-        remaining = remaining.saturating_sub(chunk.len());
         write(stream, &chunk).await?;
     }
-    if remaining > 0 {
+    if value.is_truncated() {
         return Err(Disconnected);
     }
     write(stream, b"\r\n").await
--- a/crates/gateway/src/streaming.rs
+++ b/crates/gateway/src/streaming.rs
@@ -10,6 +10,8 @@
 const MEMORY_BYTES: usize = 32 * 1024;
 /// Maximum length of a chunk, bytes.
 pub const MAX_CHUNK_BYTES: usize = 8 * 1024;
+/// Bytes that must be available in the budget for each byte taken to hold a value back.
+const AVAILABLE_PER_HELD_BYTE: usize = 2;
 /// Maximum time between two reads of a value from a backend.
 pub const STREAM_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -18,9 +20,14 @@
 pub struct StreamedValue {
     /// Total length, bytes.
     pub length: usize,
-    /// Chunks of the value. If they end before `length`, the backend did not complete the value.
-    pub chunks: mpsc::Receiver<Bytes>,
-    _memory_permit: OwnedSemaphorePermit,
+    chunks: mpsc::Receiver<Bytes>,
+    /// What was received while the value was held back.
+    held: BytesMut,
+    /// Number of bytes that were not received yet.
+    missing: usize,
+    memory: Arc<Semaphore>,
+    /// Held for as long as the value is in memory.
+    memory_permit: OwnedSemaphorePermit,
 }
 
 /// The sending half of a streamed value, which forwards what is read from the backend.
@@ -31,19 +38,63 @@
 }
 
 impl StreamedValue {
+    /// Waits for memory and begins a value of `length` bytes. Returns `None` if the memory budget is closed.
+    pub async fn begin(length: usize, memory: Arc<Semaphore>) -> Option<(ValueWriter, StreamedValue)> {
+        let memory_permit = Arc::clone(&memory).acquire_many_owned(MEMORY_BYTES as u32).await.ok()?;
+        let (sender, chunks) = mpsc::channel(1);
+        let writer = ValueWriter { remaining: length, chunks: sender };
+        let held = BytesMut::new();
+        Some((writer, StreamedValue { length, chunks, held, missing: length, memory, memory_permit }))
+    }
+
     /// Appends the RESP header of the value, which precedes its chunks.
     pub fn encode_header(&self, buffer: &mut BytesMut) {
         buffer.extend_from_slice(format!("${}\r\n", self.length).as_bytes());
     }
 
-    /// Waits for memory and begins a value of `length` bytes. Returns `None` if the memory budget is closed.
-    pub async fn begin(length: usize, memory: Arc<Semaphore>) -> Option<(ValueWriter, StreamedValue)> {
-        let _memory_permit = memory.acquire_many_owned(MEMORY_BYTES as u32).await.ok()?;
-        let (sender, chunks) = mpsc::channel(1);
-        Some((
-            ValueWriter { remaining: length, chunks: sender },
-            StreamedValue { length, chunks, _memory_permit },
-        ))
+    /// Takes memory for the whole value, so that it can be held back. Returns `false` if the budget has too
+    /// little: the values of other clients must not wait for memory.
+    pub fn reserve_whole(&mut self) -> bool {
+        if self.memory.available_permits() / AVAILABLE_PER_HELD_BYTE < self.length {
+            return false;
+        }
+        match Arc::clone(&self.memory).try_acquire_many_owned(self.length as u32) {
+            Ok(permit) => {
+                self.memory_permit.merge(permit);
+                // One buffer for all chunks, as a backend may send them in very small pieces.
+                self.held.reserve(self.length);
+                true
+            }
+            Err(_) => false,
+        }
+    }
+
+    /// Receives chunks and holds them back, until the value is complete or its writer has ended.
+    ///
+    /// Cancel safe: chunks that were received are kept.
+    pub async fn hold(&mut self) {
+        while self.missing > 0 {
+            let Some(chunk) = self.chunks.recv().await else { return };
+            self.missing = self.missing.saturating_sub(chunk.len());
+            self.held.extend_from_slice(&chunk);
+        }
+    }
+
+    /// Whether the writer has ended before the value was complete.
+    pub fn is_truncated(&self) -> bool {
+        self.missing > 0 && self.chunks.is_closed() && self.chunks.is_empty()
+    }
+
+    /// Returns the next chunk of the value. `None`: the value is complete, or its writer has ended.
+    ///
+    /// Cancel safe.
+    pub async fn next_chunk(&mut self) -> Option<Bytes> {
+        if !self.held.is_empty() {
+            return Some(self.held.split().freeze());
+        }
+        let chunk = self.chunks.recv().await?;
+        self.missing = self.missing.saturating_sub(chunk.len());
+        Some(chunk)
     }
 }
 
