Let streamed values go on until shortly before SIGKILL may come

Cause: 3.3 s after SIGTERM Input::FailAll reported every request in flight as one whose client has disconnected, also those that have their answer and whose value is being streamed. The policy then cancelled the attempt, and the rest of the value with it. Ruled out: deadlines, backends, SIGKILL (docs/incidents).

Change: only requests that await an answer fail then. The shutdown waits for streamed values until 0.07 s before the earliest SIGKILL, fails values that are held back so that the answers behind them are written, hands charges over last, and exits 0.02 s before SIGKILL at the latest, where it took up to 3.7 s before. Nothing changes where no value is being streamed.

--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -35,6 +35,9 @@
     pub closing: CancellationToken,
     /// When cancelled, the listener stops after the connections already in its backlog.
     pub not_accepting: CancellationToken,
+    /// When cancelled, streamed values that are held back fail, so that the answers behind them can still be
+    /// written before the process exits.
+    pub exiting: CancellationToken,
     /// Whether operators have drained the gateway.
     pub drained: watch::Receiver<bool>,
     /// Tasks of the connections.
--- a/crates/gateway/src/client/connection.rs
+++ b/crates/gateway/src/client/connection.rs
@@ -138,6 +138,10 @@
         }
         let has_input = !self.input.is_empty();
         tokio::select! {
+            () = self.clients.exiting.cancelled(), if self.pending.is_holding() => {
+                self.pending.fail_held();
+                Ok(())
+            }
             () = self.pending.progress(has_input) => Ok(()),
             readable = self.stream.readable(), if reading || reading_ahead => self.read(readable),
             () = peer_closed(&self.stream), if !reading => Err(Disconnected),
--- a/crates/gateway/src/client/pending_answers.rs
+++ b/crates/gateway/src/client/pending_answers.rs
@@ -61,6 +61,11 @@
         matches!(self.queue.front(), Some(Pending::Held { .. } | Pending::Ready(Answer::Streamed(_))))
     }
 
+    /// Whether the next answer is a value that is held back.
+    pub fn is_holding(&self) -> bool {
+        matches!(self.queue.front(), Some(Pending::Held { .. }))
+    }
+
     /// Adds the answer of a request.
     pub fn push_awaited(&mut self, awaited: AwaitedAnswer) {
         self.queue.push_back(Pending::Awaited(awaited));
@@ -125,6 +130,14 @@
         self.queue.push_front(Pending::Ready(answer));
     }
 
+    /// Fails the request whose value is held back.
+    pub fn fail_held(&mut self) {
+        if self.is_holding() {
+            self.queue.pop_front();
+            self.queue.push_front(Pending::Ready(Answer::Failed));
+        }
+    }
+
     /// Removes all answers. Returns the numbers of the requests that the event loop has not answered.
     pub fn abandon(&mut self) -> impl Iterator<Item = u64> + '_ {
         self.queue.drain(..).filter_map(|pending| match pending {
--- a/crates/gateway/src/event_loop.rs
+++ b/crates/gateway/src/event_loop.rs
@@ -211,7 +211,7 @@
                 let _ = reply.send(response);
             }
             Input::ShuttingDown { answer_by_ms } => self.answer_by_ms = answer_by_ms,
-            Input::FailAll => self.fail_all(),
+            Input::FailUnanswered => self.fail_unanswered(),
         }
     }
 
@@ -300,10 +300,12 @@
         }
     }
 
-    /// Fails all open requests. New ones get a deadline in the past from now on.
-    fn fail_all(&mut self) {
+    /// Fails all requests that await an answer. New ones get a deadline in the past from now on.
+    ///
+    /// Requests whose value is being streamed have their answer: cancelling their attempts would cut it off.
+    fn fail_unanswered(&mut self) {
         self.answer_by_ms = f64::MIN;
-        for id in self.requests.ids() {
+        for id in self.requests.ids_awaiting_answer() {
             self.answer(id, Answer::Failed);
             self.handle_event(Event::ClientDisconnected { id });
         }
--- a/crates/gateway/src/event_loop/requests.rs
+++ b/crates/gateway/src/event_loop/requests.rs
@@ -77,9 +77,10 @@
         self.client_ids.len()
     }
 
-    /// Numbers of all requests.
-    pub fn ids(&self) -> Vec<u64> {
-        self.in_flight.keys().copied().collect()
+    /// Numbers of the requests that await an answer.
+    pub fn ids_awaiting_answer(&self) -> Vec<u64> {
+        let awaiting = self.in_flight.iter().filter(|(_, request)| request.reply.is_some());
+        awaiting.map(|(id, _)| *id).collect()
     }
 
     /// Returns whether a request awaits an answer or has attempts in flight.
--- a/crates/gateway/src/input.rs
+++ b/crates/gateway/src/input.rs
@@ -51,8 +51,8 @@
     /// The gateway is shutting down. Requests from now on must be answered by `answer_by_ms`, Unix time in
     /// ms.
     ShuttingDown { answer_by_ms: f64 },
-    /// The process is about to exit: open requests fail now, and new ones are rejected.
-    FailAll,
+    /// The process is about to exit: requests that await an answer fail now, and new ones are rejected.
+    FailUnanswered,
 }
 
 /// The purpose of a probe.
--- a/crates/gateway/src/server/builder.rs
+++ b/crates/gateway/src/server/builder.rs
@@ -123,6 +123,7 @@
         last_request: AtomicU64::new(0),
         closing: CancellationToken::new(),
         not_accepting: CancellationToken::new(),
+        exiting: CancellationToken::new(),
         drained,
         connections,
     });
--- a/crates/gateway/src/server/shutdown.rs
+++ b/crates/gateway/src/server/shutdown.rs
@@ -5,7 +5,7 @@
 
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinHandle;
-use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant};
+use tokio::time::{sleep, sleep_until, timeout_at, Instant};
 
 use crate::client::{Clients, IDLE_CLOSE_DELAY};
 use crate::clock::Clock;
@@ -14,9 +14,15 @@
 
 /// Upper bound of the time that requests have left after SIGTERM, ms. It is less if the longest deadline is.
 const MAX_OPEN_REQUESTS_MS: f64 = 3_000.0;
-/// Time added to [`MAX_OPEN_REQUESTS_MS`] or the longest deadline: part of the 0.7 s left until the platform
-/// kills the process.
+/// Time from the end of [`MAX_OPEN_REQUESTS_MS`], or of the longest deadline, until the platform may kill the
+/// process.
+const KILL_DELAY: Duration = Duration::from_millis(700);
+/// Part of [`KILL_DELAY`] after which requests that are still unanswered fail.
 const MARGIN: Duration = Duration::from_millis(300);
+/// Time before the kill at which streamed values are given up.
+const STREAMING_MARGIN: Duration = Duration::from_millis(70);
+/// Time before the kill at which the process exits at the latest.
+const EXIT_MARGIN: Duration = Duration::from_millis(20);
 /// Minimum time for which connections are served as before after SIGTERM, since new ones still arrive.
 const MIN_ACCEPTING: Duration = Duration::from_millis(500);
 /// Length of the closing phase, in which connections close after an answer, and after the first
@@ -25,20 +31,44 @@
 const CLOSING: Duration = Duration::from_millis(700).saturating_add(IDLE_CLOSE_DELAY);
 /// Last part of the closing phase, in which no answers are waited for any more.
 const ANSWER_MARGIN: Duration = Duration::from_millis(50);
-/// Maximum time for writing the last answers, and for handing over unreported charges.
-const LAST_WRITES_TIMEOUT: Duration = Duration::from_millis(200);
+/// Maximum time for writing the answers behind streamed values that were given up.
+const LAST_WRITES_TIMEOUT: Duration = Duration::from_millis(20);
 
-/// The lengths of the phases of a shutdown: serving, then closing, then last writes.
+/// The lengths of the phases of a shutdown: serving, then closing, then the rest of streamed values.
 #[derive(Clone, Copy, Debug)]
 struct Phases {
     /// Serving and closing together.
     total: Duration,
+    /// Time from SIGTERM to the earliest kill.
+    kill: Duration,
+}
+
+/// When the last phases of a shutdown end.
+#[derive(Clone, Copy, Debug)]
+struct Ends {
+    /// Requests that are still unanswered fail.
+    answers: Instant,
+    /// Streamed values are given up.
+    streaming: Instant,
+    /// The process exits.
+    process: Instant,
 }
 
 impl Phases {
     /// Returns the phases for a gateway whose longest deadline is `longest_ms`.
     fn for_deadline_ms(longest_ms: f64) -> Phases {
-        Phases { total: Duration::from_secs_f64(longest_ms.min(MAX_OPEN_REQUESTS_MS) / 1000.0) + MARGIN }
+        let open_requests = Duration::from_secs_f64(longest_ms.min(MAX_OPEN_REQUESTS_MS) / 1000.0);
+        Phases { total: open_requests + MARGIN, kill: open_requests + KILL_DELAY }
+    }
+
+    /// Returns the ends of the last phases of a shutdown that begins now.
+    fn ends(self) -> Ends {
+        let now = Instant::now();
+        Ends {
+            answers: now + self.total,
+            streaming: now + self.kill - STREAMING_MARGIN,
+            process: now + self.kill - EXIT_MARGIN,
+        }
     }
 
     /// Returns how long connections are accepted and served as before.
@@ -68,7 +98,7 @@
     /// Runs all phases.
     pub async fn run(self, mut accepting: JoinHandle<()>) {
         let phases = Phases::for_deadline_ms(self.longest_deadline_ms());
-        let end = Instant::now() + phases.total;
+        let ends = phases.ends();
         self.bound_new_requests(phases).await;
         // Another process accepts on the same socket, so connections accepted here would only have to close.
         if self.status.other_processes() > 0 {
@@ -76,14 +106,14 @@
         }
         sleep(phases.serving()).await;
         self.clients.closing.cancel();
-        sleep_until((Instant::now() + IDLE_CLOSE_DELAY).min(end)).await;
+        sleep_until((Instant::now() + IDLE_CLOSE_DELAY).min(ends.answers)).await;
         self.clients.not_accepting.cancel();
-        if timeout_at(end, &mut accepting).await.is_err() {
+        if timeout_at(ends.answers, &mut accepting).await.is_err() {
             accepting.abort();
         }
         self.clients.connections.close();
-        self.finish_connections(end).await;
-        self.hand_over_unreported().await;
+        self.finish_connections(ends).await;
+        self.hand_over_unreported(ends).await;
     }
 
     fn longest_deadline_ms(&self) -> f64 {
@@ -103,24 +133,36 @@
         let _ = self.clients.inbox.send(Input::ShuttingDown { answer_by_ms }).await;
     }
 
-    /// Waits until `end` for the connections to close, then fails the requests that are still open.
-    async fn finish_connections(&self, end: Instant) {
-        let all_closed = tokio::select! {
-            () = self.clients.connections.wait() => true,
-            () = sleep_until(end) => false,
-        };
-        if !all_closed {
-            // Without this, these requests would get no answer at all when the process exits or is killed.
-            let _ = self.clients.inbox.send(Input::FailAll).await;
-            let _ = timeout(LAST_WRITES_TIMEOUT, self.clients.connections.wait()).await;
+    /// Waits for the connections to close. Fails the requests that have no answer in time, and lets values
+    /// that are being streamed go on for as long as the process may run.
+    async fn finish_connections(&self, ends: Ends) {
+        if self.connections_closed_by(ends.answers).await {
+            return;
+        }
+        // Without this, these requests would get no answer at all when the process exits or is killed.
+        let _ = self.clients.inbox.send(Input::FailUnanswered).await;
+        if self.connections_closed_by(ends.streaming).await {
+            return;
         }
+        self.clients.exiting.cancel();
+        self.connections_closed_by(ends.streaming + LAST_WRITES_TIMEOUT).await;
     }
 
-    /// Hands over unreported charges to the gateway's other processes.
-    async fn hand_over_unreported(&self) {
-        let (done, finished) = oneshot::channel();
-        if self.handover.send(done).await.is_ok() {
-            let _ = timeout(LAST_WRITES_TIMEOUT, finished).await;
-        }
+    /// Waits until all connections are closed; returns `false` if some are still open at `end`.
+    async fn connections_closed_by(&self, end: Instant) -> bool {
+        timeout_at(end, self.clients.connections.wait()).await.is_ok()
+    }
+
+    /// Hands over unreported charges to the gateway's other processes. Done last, as the answer to a request
+    /// may still change its charge behind a streamed value.
+    async fn hand_over_unreported(&self, ends: Ends) {
+        let handed_over = async {
+            let (done, finished) = oneshot::channel();
+            if self.handover.send(done).await.is_ok() {
+                // Fails only if the controller has ended.
+                let _ = finished.await;
+            }
+        };
+        let _ = timeout_at(ends.process, handed_over).await;
     }
 }
--- a/crates/gateway/tests/signals.rs
+++ b/crates/gateway/tests/signals.rs
@@ -70,6 +70,74 @@
     assert!(rig.gateway.wait_for_exit().success());
 }
 
+/// Time from SIGTERM to the earliest SIGKILL: the longest deadline, 3 s at most, and 0.7 s.
+const KILL_AFTER: Duration = Duration::from_millis(3_700);
+
+/// Starts an answer with a value of `length` bytes, and sends `sent` of them.
+fn start_value(arrived: &mut IncomingMessage, length: usize, sent: usize) {
+    arrived.reply(&format!("*3\r\n${length}\r\n{}", "x".repeat(sent)));
+}
+
+/// Guards against a streamed value that is cut off when the unanswered requests fail, although the backend
+/// completes it before SIGKILL.
+#[test]
+fn streamed_value_goes_on_until_shortly_before_sigkill() {
+    let mut rig = Rig::with_config(1, |_| {});
+    let mut client = rig.gateway.client();
+    client.send(&as_strs(&request_args(1, "safe", "free", 1, 8000)));
+    let (_, mut arrived) = rig.next_request();
+    let (pieces, piece) = (23, 10_000);
+    start_value(&mut arrived, pieces * piece, 0);
+    let begun = Instant::now();
+    rig.gateway.terminate();
+    for _ in 0..pieces {
+        sleep(Duration::from_millis(150));
+        arrived.reply(&"x".repeat(piece));
+    }
+    arrived.reply("\r\n$13\r\nused=0,cost=1\r\n$-1\r\n");
+    assert!(begun.elapsed() < Duration::from_millis(3_600), "the machine stalled: {:?}", begun.elapsed());
+    assert_eq!(client.read().len(), pieces * piece);
+    assert!(rig.gateway.wait_for_exit().success());
+    assert!(begun.elapsed() < KILL_AFTER, "{:?}", begun.elapsed());
+}
+
+/// Guards against a shutdown that SIGKILL has to end, because a value takes longer than the process may run.
+#[test]
+fn endless_value_does_not_delay_exit_until_sigkill() {
+    let mut rig = Rig::with_config(1, |_| {});
+    let mut client = rig.gateway.client();
+    client.send(&as_strs(&request_args(1, "safe", "free", 1, 8000)));
+    let (_, mut arrived) = rig.next_request();
+    start_value(&mut arrived, 1 << 20, 1_000);
+    let begun = Instant::now();
+    rig.gateway.terminate();
+    assert_eq!(client.read(), "(end)");
+    assert!(rig.gateway.wait_for_exit().success());
+    assert!(begun.elapsed() < KILL_AFTER, "{:?}", begun.elapsed());
+}
+
+/// Guards against an answer that is lost behind a value that is held back when the process exits.
+#[test]
+fn answer_behind_held_value_is_written_before_exit() {
+    let mut rig = Rig::with_config(1, |_| {});
+    let mut client = rig.gateway.client();
+    let safe = command(&as_strs(&request_args(1, "safe", "free", 1, 8000)));
+    let behind = command(&as_strs(&request_args(2, "unsafe", "free", 1, 8000)));
+    client.write(&[safe, behind].concat());
+    let mut arrived = [rig.next_request().1, rig.next_request().1];
+    arrived.sort_by(|a, b| a.words[0].cmp(&b.words[0]));
+    let [mut long, mut behind] = arrived;
+    behind.serve("fine");
+    let begun = Instant::now();
+    rig.gateway.terminate();
+    sleep(Duration::from_millis(3_000));
+    start_value(&mut long, 1 << 20, 500_000);
+    assert_eq!(client.read(), "-ERR failed");
+    assert_eq!(client.read(), "fine");
+    assert!(rig.gateway.wait_for_exit().success());
+    assert!(begun.elapsed() < KILL_AFTER, "{:?}", begun.elapsed());
+}
+
 /// Sends a snapshot and waits until the gateway watches for later versions.
 fn send_snapshot(agent: &DiscoveryStandIn, backend: &StandIn) {
     agent.deliver(&list(7, true, &[serving(0, backend)]));
