Acknowledge backends' answers at once, so that a held-back duplicate is detected

Cause: a backend's system without TCP_NODELAY holds the duplicate back until the first answer is acknowledged (Nagle's algorithm, RFC 896), and the gateway's system delays that by 40 ms or until the gateway writes. So the duplicate came after the cool-down of 20 ms, right behind the next request, and was taken for its answer.

Evidence, from an answer to its duplicate on a loopback connection, 40 each: 40.3 ms on the median (42.8 at most) with TCP_NODELAY off at the writer, 0.04 ms with it on; 0.10 ms (0.14 at most) with it off and TCP_QUICKACK at the reader. Ruled out: duplicates within the cool-down or in the buffer, late backends, shifts between clients (docs/incidents).

Change: TCP_QUICKACK behind each answer. With nothing unacknowledged the backend's system must send what it holds back, so it arrives one round trip later, within the cool-down, which is as long as before.

--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -13,7 +13,9 @@
 ///
 /// A backend may send a second answer to a request some milliseconds late, which would be taken for the
 /// answer to the next request. During the cool-down such an answer is detected, and the connection is closed.
-/// In exchange, a request right after an answer waits this long if no other connection is idle.
+/// One that the backend's system holds back arrives one round trip after the cool-down begins (see
+/// [`Connection::begin_cool_down`]). In exchange, a request right after an answer waits this long if no other
+/// connection is idle.
 const COOL_DOWN: Duration = Duration::from_millis(20);
 
 /// The permits that a connection holds: one of the whole pool, and one of its backend.
@@ -51,7 +53,12 @@
     }
 
     /// Marks the connection as idle, and starts its cool-down.
+    ///
+    /// Acknowledges the answer at once. Until then, the backend's system may hold a second answer back
+    /// (Nagle's algorithm, RFC 896), and a delayed acknowledgement would be sent with the next request only.
     pub(super) fn begin_cool_down(&mut self) {
+        // Fails only on a connection that is broken, which is detected when it is used again.
+        let _ = self.stream.set_quickack(true);
         self.idle_since = Instant::now();
         self.cooled_down_at = self.idle_since + COOL_DOWN;
     }
--- a/crates/gateway/src/upstream/exchange.rs
+++ b/crates/gateway/src/upstream/exchange.rs
@@ -43,9 +43,11 @@
         decode: impl FnOnce(BytesFrame) -> Option<Reply>,
     ) -> (Reply, Option<Connection>) {
         let answer = self.write_and_read(request, deadlines, on_start).await;
-        self.begin_cool_down();
         match answer.map(decode) {
-            Ok(Some(reply)) => (reply, Some(self)),
+            Ok(Some(reply)) => {
+                self.begin_cool_down();
+                (reply, Some(self))
+            }
             Ok(None) => (Reply::failed(Outcome::Error), None),
             Err(outcome) => (Reply::failed(outcome), None),
         }
--- a/crates/gateway/tests/disconnect_and_shutdown_races.rs
+++ b/crates/gateway/tests/disconnect_and_shutdown_races.rs
@@ -307,6 +307,40 @@
     assert!(duplicates_in_pause > 0, "no duplicate response arrived during the pause");
 }
 
+/// Sends a request and answers it with a value of its own. Returns the request as the backend received it.
+fn exchange_own_value(rig: &Rig, client: &mut Client, id: u64) -> IncomingMessage {
+    let value = format!("value of {id}");
+    client.send(&as_strs(&request_args(id, "safe", "free", 1, 8000)));
+    let (_, mut arrived) = rig.next_request();
+    arrived.allow_held_back_replies();
+    arrived.serve(&value);
+    assert_eq!(client.read(), value);
+    arrived
+}
+
+/// Guards against a duplicate response that the backend's system holds back until the first one is
+/// acknowledged: it arrived right behind the next request, and was used as the response to it.
+#[test]
+fn duplicate_response_held_back_by_system_does_not_answer_next_request() {
+    /// Exchanges without a duplicate; a system delays acknowledgements only once both sides have sent.
+    const PLAIN_EXCHANGES: u64 = 10;
+    let rig = Rig::with_config(1, |_| {});
+    let mut client = rig.gateway.client();
+    for round in 0..8 {
+        let first_id = round * (PLAIN_EXCHANGES + 1);
+        let mut last = exchange_own_value(&rig, &mut client, first_id);
+        for id in 1..PLAIN_EXCHANGES {
+            sleep(Duration::from_millis(21));
+            last = exchange_own_value(&rig, &mut client, first_id + id);
+        }
+        last.serve("duplicate");
+        // Longer than the gateway's pause, and shorter than an acknowledgement is delayed.
+        sleep(Duration::from_millis(25));
+        let next = exchange_own_value(&rig, &mut client, first_id + PLAIN_EXCHANGES);
+        assert_ne!(next.connection, last.connection, "the connection with a duplicate was reused");
+    }
+}
+
 /// Guards against commands that are read at the end of the drain, forwarded, and lost when the process exits.
 #[test]
 fn command_at_drain_end_is_answered_or_not_forwarded() {
--- a/crates/testbed/src/scripted/stand_in.rs
+++ b/crates/testbed/src/scripted/stand_in.rs
@@ -35,6 +35,11 @@
         self.reply(&format!("*3\r\n${value_length}\r\n{value}\r\n${used_length}\r\n{used}\r\n$-1\r\n"));
     }
 
+    /// Lets the system hold small replies back until earlier ones are acknowledged, as it does by default.
+    pub fn allow_held_back_replies(&self) {
+        self.stream.set_nodelay(false).expect("clear TCP_NODELAY");
+    }
+
     /// Closes the connection in both directions.
     pub fn close(&self) {
         let _ = self.stream.shutdown(std::net::Shutdown::Both);
