--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# A backend is drained by order and its work waited for; then one gateway can not be reached any more.
+# Long answers, written by their backends in pieces with pauses of 0.4 s.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: no disruption.
 set -u
 here="$(cd "$(dirname "$0")" && pwd)"
@@ -9,7 +9,7 @@
 done
 folder="$(mktemp -d)" || exit 2
 trap 'rm -rf "$folder"' EXIT
-timeout --kill-after=5 110 target/review-2/stand-ins wait "$PWD" "$folder" "$here/record.txt"
+timeout --kill-after=5 110 target/review-2/stand-ins pieces "$PWD" "$folder" "$here/record.txt"
 status=$?
 [ "$status" -le 1 ] || status=2
 exit "$status"
--- a/review/stand-ins-2/base.rs
+++ b/review/stand-ins-2/base.rs
@@ -5,6 +5,7 @@
 use std::fs::File;
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -16,6 +17,7 @@
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
     fn prctl(option: i32, argument: u64, _: u64, _: u64, _: u64) -> i32;
+    fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
     fn waitpid(pid: i32, status: *mut i32, options: i32) -> i32;
 }
 
@@ -94,6 +96,8 @@
     pub trouble: bool,
     /// The `run` line of the deploy file.
     pub run: String,
+    /// The second address of gateways that are started, for operators' calls.
+    pub management: Option<SocketAddr>,
 }
 
 impl Case {
@@ -109,7 +113,7 @@
         let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
         let record = Arc::new(Record { file: Mutex::new(file), start: Instant::now() });
         record.line(&format!("trouble: {trouble}; run line: {run}"));
-        Case { record, folder: PathBuf::from(folder), trouble, run: run.to_string(), root }
+        Case { record, folder: PathBuf::from(folder), trouble, run: run.to_string(), management: None, root }
     }
 
     /// Prints and records the verdict, and ends with it.
@@ -167,6 +171,9 @@
         command.env("GW_CONFIG", config).env("TMPDIR", &tmp).env_remove("GW_MANAGEMENT");
         command.env_remove("GW_SOCKET_FD").stdin(Stdio::null());
         command.stdout(out.try_clone().unwrap()).stderr(out);
+        if let Some(management) = self.management {
+            command.env("GW_MANAGEMENT", management.to_string());
+        }
         let child = spawn(&mut command).unwrap_or_else(|e| cannot_run(&format!("{process}: {e}")));
         self.record.line(&format!("platform: starts {process}, process {}", child.id()));
         Gateway { child }
@@ -191,6 +198,16 @@
     }
 }
 
+/// Calls a management address, and returns its answer.
+pub fn manage(address: SocketAddr, call: &str) -> io::Result<String> {
+    let mut stream = TcpStream::connect(address)?;
+    stream.set_read_timeout(Some(ms(1_500)))?;
+    stream.write_all(format!("{call}\n").as_bytes())?;
+    let mut line = String::new();
+    BufReader::new(stream).read_line(&mut line)?;
+    Ok(line.trim_end().to_string())
+}
+
 /// The settings of a small deployment.
 pub struct Config {
     pub name: String,
@@ -523,6 +540,13 @@
     reader: BufReader<TcpStream>,
 }
 
+/// Gives a socket a small receive buffer, as a client has it that reads slowly.
+pub fn small_receive_buffer(stream: &TcpStream) {
+    let bytes = 32 * 1024;
+    // SOL_SOCKET and SO_RCVBUF are 1 and 8 on x86-64 and on arm64.
+    unsafe { setsockopt(stream.as_raw_fd(), 1, 8, &bytes, 4) };
+}
+
 impl Client {
     pub fn open(address: SocketAddr) -> io::Result<Client> {
         let stream = TcpStream::connect_timeout(&address, ms(2_000))?;
--- a/review/stand-ins-2/resolver.rs
+++ b/review/stand-ins-2/dns.rs
@@ -1,19 +1,14 @@
-//! The agent starts anew while its resolver answers some questions late.
+//! A service in DNS-SD: its zone, answers to queries, and the agent that builds the list from them.
 
 use crate::base::*;
 use std::collections::HashMap;
 use std::fs::File;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpStream, UdpSocket};
+use std::net::{SocketAddr, TcpStream};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
 use std::thread;
 
-pub const SERVICE: &str = "_till._tcp.ub-room.example.org";
-const TTL_S: u32 = 60;
-const RESTART_AT_MS: u64 = 4_000;
-const END_MS: u64 = 30_000;
+const SERVICE: &str = "_till._tcp.ub-room.example.org";
 
 /// The records of the zone, by name and type; all of them exist all the time.
 pub fn zone(backends: &[SocketAddr]) -> HashMap<(String, u16), Vec<Vec<u8>>> {
@@ -151,120 +146,3 @@
     let _ = reader.read_to_string(&mut text);
     Some((status, text.matches("\"SERVING\"").count()))
 }
-
-pub fn run(case: &Case) -> ! {
-    let backends: Vec<SocketAddr> = (0..4)
-        .map(|_| {
-            let record = std::sync::Arc::clone(&case.record);
-            backend(move |request, out| {
-                record.line(&format!("backend: runs {}", request.id));
-                thread::sleep(ms(20));
-                out.write_all(&served(request.id.as_bytes(), 1.0))
-            })
-        })
-        .collect();
-    let late = Arc::new(AtomicBool::new(false));
-    let dropped: Arc<AtomicU64> = Arc::default();
-    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
-    let resolver = socket.local_addr().unwrap();
-    {
-        let (late, dropped, zone) = (Arc::clone(&late), Arc::clone(&dropped), zone(&backends));
-        thread::spawn(move || {
-            let mut query = [0; 4_096];
-            while let Ok((length, from)) = socket.recv_from(&mut query) {
-                let Some((_, kind, _)) = question(&query[..length]) else { continue };
-                // The service's PTR records are still in the resolver's cache; the others have to be asked for.
-                if late.load(Ordering::Relaxed) && kind != 12 {
-                    dropped.fetch_add(1, Ordering::Relaxed);
-                    continue;
-                }
-                if let Some(bytes) = answer(&query[..length], &zone, TTL_S) {
-                    let _ = socket.send_to(&bytes, from);
-                }
-            }
-        });
-    }
-    let (list, listen, counter) = (free_address(), free_address(), Counter::start());
-    let operator = operators_file(case, list, resolver);
-    let mut agent = start_agent(case, &operator, list, 1);
-    for _ in 0..200 {
-        if fetch(list).is_some_and(|(_, backends)| backends == 4) {
-            break;
-        }
-        thread::sleep(ms(25));
-    }
-    let known: Vec<Listed> = backends
-        .iter()
-        .enumerate()
-        .map(|(n, a)| Listed::new(&format!("s-{n}"), *a, n as u32 / 2 + 1))
-        .collect();
-    let config = Config {
-        name: "n0".into(),
-        listen,
-        discovery: list,
-        counter: counter.address,
-        memory_mb: 128,
-        sockets: 1024,
-        me: 0,
-        gateways: 2,
-        deadlines_ms: [3_000; 3],
-        chain: [11.0, 32.0, 25.0, 70.0, 8.0],
-        known: list_json(&known),
-        lists: "ask",
-    };
-    let path = case.folder.join("n0.json");
-    config.write(&path);
-    let mut gateway = case.gateway("n0", &path, "");
-    case.wait_ready(listen);
-    let ids = Ids::new();
-    let mut client = Client::open(listen).unwrap_or_else(|e| cannot_run(&e.to_string()));
-    let _ = client.stream.set_read_timeout(Some(ms(3_500)));
-    let (mut restarted, mut number) = (false, 0_u64);
-    let empty: Arc<Mutex<Option<f64>>> = Arc::default();
-    let (mut good, mut refused_since) = (0_u64, None);
-    let mut last_state = (0, 0);
-    while case.record.now_ms() < END_MS as f64 {
-        if !restarted && case.record.now_ms() >= RESTART_AT_MS as f64 {
-            restarted = true;
-            if case.trouble {
-                late.store(true, Ordering::Relaxed);
-                case.record.line("resolver: answers for the service alone from now on; all else times out");
-            }
-            drop(agent);
-            agent = start_agent(case, &operator, list, 2);
-        }
-        if let Some(state) = fetch(list).filter(|state| *state != last_state) {
-            last_state = state;
-            case.record.line(&format!("list: status {}, {} backends", state.0, state.1));
-            if state.0 == 200 && state.1 == 0 {
-                empty.lock().unwrap().get_or_insert(case.record.now_ms());
-            }
-        }
-        number += 1;
-        let (id, customer) = (ids.next(), format!("{:016x}", 0x4000 + number));
-        let terms = "c=basket-price,t=standard,d=3000,units=1,spread=2,first=0";
-        let sent =
-            client.send(&command(&[b"API.READ", customer.as_bytes(), id.as_bytes(), terms.as_bytes()]));
-        match sent.and_then(|()| client.read()) {
-            Ok(Answer::Value(_)) => (good, refused_since) = (good + 1, None),
-            Ok(Answer::Line(line)) => {
-                refused_since.get_or_insert(case.record.now_ms());
-                case.record.line(&format!("client: {id} {line}"));
-            }
-            Err(e) => cannot_run(&format!("client: {e}")),
-        }
-        thread::sleep(ms(30));
-    }
-    let broken = empty.lock().unwrap().is_some();
-    case.end(
-        broken,
-        &format!(
-            "empty list served from {:?} ms on; {good} of {number} requests served, all others refused from {:?} ms on; \
-             {} questions unanswered; gateway ended: {:?}",
-            empty.lock().unwrap().map(|at| at.round()),
-            refused_since.map(f64::round),
-            dropped.load(Ordering::Relaxed),
-            gateway.ended()
-        ),
-    )
-}
--- a/review/stand-ins-2/labels.rs
+++ b/review/stand-ins-2/labels.rs
@@ -1,7 +1,7 @@
 //! TXT records of the backends vanish while keyed requests are repeated.
 
 use crate::base::*;
-use crate::resolver::{answer, fetch, operators_file, question, start_agent, zone};
+use crate::dns::{answer, fetch, operators_file, question, start_agent, zone};
 use std::collections::HashMap;
 use std::io::{self, Write};
 use std::net::{SocketAddr, UdpSocket};
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -2,11 +2,10 @@
 //! `review/build-2.sh` builds it.
 
 mod base;
+mod dns;
 mod labels;
 mod memory;
 mod pieces;
-mod resolver;
-mod wait;
 
 fn main() {
     let args: Vec<String> = std::env::args().skip(1).collect();
@@ -18,8 +17,6 @@
         "labels" => labels::run(&case),
         "memory" => memory::run(&case),
         "pieces" => pieces::run(&case),
-        "resolver" => resolver::run(&case),
-        "wait" => wait::run(&case),
         _ => base::cannot_run("no such case"),
     }
 }
