--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -2,6 +2,7 @@
 //! `review/build-2.sh` builds it.
 
 mod base;
+mod behind;
 mod dns;
 mod labels;
 mod memory;
@@ -14,6 +15,7 @@
     };
     let case = base::Case::new(rest);
     match name.as_str() {
+        "behind" => behind::run(&case),
         "labels" => labels::run(&case),
         "memory" => memory::run(&case),
         "pieces" => pieces::run(&case),
