Review 9: a drain cuts off values that clients still read

Cause: a connection is closed 0.2 s after its sending side (LINGER_TIMEOUT, client/stream.rs), whether or not what was written has been taken; the client's next bytes then reset it.

Change: a case for the review; no fix.

--- /dev/null
+++ b/review/9/run.sh
@@ -0,0 +1,15 @@
+#!/usr/bin/env bash
+# Clients take long values slowly, and send on, while their gateway is drained.
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: no disruption.
+set -u
+here="$(cd "$(dirname "$0")" && pwd)"
+cd "$here/../.."
+for program in target/release/admission-gateway target/release/gatewayctl target/review-2/stand-ins; do
+    [ -x "$program" ] || { echo "$program is missing: build first, then review/build-2.sh"; exit 2; }
+done
+folder="$(mktemp -d)" || exit 2
+trap 'rm -rf "$folder"' EXIT
+timeout --kill-after=5 110 target/review-2/stand-ins drained "$PWD" "$folder" "$here/record.txt"
+status=$?
+[ "$status" -le 1 ] || status=2
+exit "$status"
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -4,6 +4,7 @@
 mod base;
 mod behind;
 mod dns;
+mod drained;
 mod labels;
 mod memory;
 mod pieces;
@@ -16,6 +17,7 @@
     let case = base::Case::new(rest);
     match name.as_str() {
         "behind" => behind::run(&case),
+        "drained" => drained::run(case),
         "labels" => labels::run(&case),
         "memory" => memory::run(&case),
         "pieces" => pieces::run(&case),
