--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -9,7 +9,7 @@
 done
 folder="$(mktemp -d)" || exit 2
 trap 'rm -rf "$folder"' EXIT
-timeout --kill-after=5 110 target/review-2/stand-ins labels "$PWD" "$folder" "$here/record.txt"
+timeout --foreground --kill-after=5 110 target/review-2/stand-ins labels "$PWD" "$folder" "$here/record.txt"
 status=$?
 [ "$status" -le 1 ] || status=2
 exit "$status"
--- a/review/stand-ins-2/base.rs
+++ b/review/stand-ins-2/base.rs
@@ -543,7 +543,7 @@
 /// Gives a socket a small receive buffer, as a client has it that reads slowly.
 pub fn small_receive_buffer(stream: &TcpStream) {
     let bytes = 32 * 1024;
-    // SOL_SOCKET and SO_RCVBUF are 1 and 8 on x86-64 and on arm64.
+    // Linux's SOL_SOCKET and SO_RCVBUF.
     unsafe { setsockopt(stream.as_raw_fd(), 1, 8, &bytes, 4) };
 }
 
