--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Answers of 64 KiB, written by their backends in pieces over 2.3 s, as many at once as clients may have open.
+# Answers of 64 KiB, written by their backends in pieces over 3 s, as many at once as clients may have open.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: no disruption.
 set -u
 here="$(cd "$(dirname "$0")" && pwd)"
--- a/review/stand-ins-2/memory.rs
+++ b/review/stand-ins-2/memory.rs
@@ -14,13 +14,13 @@
 const REQUESTS_PER_S: f64 = 140.0;
 const VALUE_BYTES: usize = 64 * 1024;
 /// How long a backend takes to write an answer.
-const WRITING_MS: u64 = 2_300;
+const WRITING_MS: u64 = 3_000;
 const RUN_MS: u64 = 12_000;
 
 pub fn run(case: &Case) -> ! {
     let slow = case.trouble;
     let mut list = Vec::new();
-    for number in 0..8 {
+    for number in 0..10 {
         let address = backend(move |request, out| {
             let answer = served(&vec![b'v'; VALUE_BYTES], request.term("units").parse().unwrap_or(1.0));
             thread::sleep(ms(20));
@@ -37,7 +37,7 @@
             }
             Ok(())
         });
-        list.push(Listed::new(&format!("s-{number}"), address, number / 4));
+        list.push(Listed::new(&format!("s-{number}"), address, number / 5));
     }
     let known = list_json(&list);
     let (discovery, counter, listen) = (Discovery::start(list), Counter::start(), free_address());
