An answer that pauses for more than 0.25 s is no longer cut off

Seen: backends that write with pauses of 0.4 s were cut off 0.25 s after the first piece; callers got `-ERR failed` for requests that had run.

Cause: a read of an answer that had begun was given 0.25 s, except within a streamed value. Evidence: the backends' record shows the cut 0.25 s after the first piece, 7.7 s before the deadline; values of 60 KiB fail alike; without pauses all come whole.

Change: one bound of 10 s for each read of an answer, below the deadline of its request, and the same for what follows a streamed value. Corrupt heads, for which the short bound was made, fail at their first wrong byte instead.

--- a/crates/gateway/src/resp/frame.rs
+++ b/crates/gateway/src/resp/frame.rs
@@ -18,6 +18,8 @@
 const FIRST_READ: usize = 1024 - 32;
 /// Space reserved for each further read of a message, bytes.
 const NEXT_READ: usize = 16 * 1024;
+/// Maximum number of digits of a length.
+const MAX_LENGTH_DIGITS: usize = 10;
 /// Terminator of lines and values.
 const LINE_END: &[u8] = b"\r\n";
 
@@ -52,7 +54,7 @@
             return Err(Malformed("unexpected type"));
         }
         let Some(line_end) = find_line_end(rest) else {
-            return if rest.len() > MAX_LINE_BYTES { Err(Malformed("line too long")) } else { Ok(None) };
+            return check_partial_line(rest).map(|()| None);
         };
         let (kind, line) = rest[..line_end].split_first().ok_or(Malformed("empty line"))?;
         let first = at == 0;
@@ -92,6 +94,22 @@
     }
 }
 
+/// Checks a line whose end has not been received. Corrupt bytes may never contain a line end, so waiting for it
+/// would take until a timeout.
+pub(super) fn check_partial_line(line: &[u8]) -> Result<(), Malformed> {
+    if line.len() > MAX_LINE_BYTES {
+        return Err(Malformed("line too long"));
+    }
+    let Some((b'*' | b'$', length)) = line.split_first() else { return Ok(()) };
+    let length = length.strip_suffix(b"\r").unwrap_or(length);
+    let digits = length.strip_prefix(b"-").unwrap_or(length);
+    match digits.iter().all(u8::is_ascii_digit) {
+        true if digits.len() <= MAX_LENGTH_DIGITS => Ok(()),
+        true => Err(Malformed("too long")),
+        false => Err(Malformed("bad length")),
+    }
+}
+
 /// Returns the position of the first line end; `None` if there is none within [`MAX_LINE_BYTES`].
 pub(super) fn find_line_end(bytes: &[u8]) -> Option<usize> {
     bytes.windows(LINE_END.len()).take(MAX_LINE_BYTES).position(|window| window == LINE_END)
--- a/crates/gateway/src/resp/header.rs
+++ b/crates/gateway/src/resp/header.rs
@@ -4,7 +4,7 @@
 #[cfg(test)]
 mod tests;
 
-use super::frame::{find_line_end, parse_length, MAX_ARRAY_ELEMENTS, MAX_LINE_BYTES, MAX_VALUE_BYTES};
+use super::frame::{check_partial_line, find_line_end, parse_length, MAX_ARRAY_ELEMENTS, MAX_VALUE_BYTES};
 
 /// Maximum length of a streamed value, bytes: the maximum that RESP allows (Redis, "Protocol").
 const MAX_STREAMED_VALUE_BYTES: usize = 512 << 20;
@@ -33,21 +33,19 @@
         return Header::Buffered;
     }
     let Some((array, value_at)) = line_at(buffer, 0) else {
-        return incomplete_unless(buffer.len() > MAX_LINE_BYTES);
+        return classify_partial_line(buffer);
     };
+    let Ok(Some(elements)) = parse_length(&array[1..], MAX_ARRAY_ELEMENTS) else { return Header::Buffered };
     match buffer.get(value_at) {
         None => return Header::Incomplete,
         Some(b'$') => {}
         Some(_) => return Header::Buffered,
     }
     let Some((value, header_length)) = line_at(buffer, value_at) else {
-        return incomplete_unless(buffer.len() > value_at + MAX_LINE_BYTES);
+        return classify_partial_line(&buffer[value_at..]);
     };
-    let elements = parse_length(&array[1..], MAX_ARRAY_ELEMENTS).ok().flatten();
-    match (elements, parse_length(&value[1..], MAX_STREAMED_VALUE_BYTES)) {
-        (Some(elements), Ok(Some(length))) if length > MAX_VALUE_BYTES => {
-            Header::Streamed { elements, length, header_length }
-        }
+    match parse_length(&value[1..], MAX_STREAMED_VALUE_BYTES) {
+        Ok(Some(length)) if length > MAX_VALUE_BYTES => Header::Streamed { elements, length, header_length },
         _ => Header::Buffered,
     }
 }
@@ -58,13 +56,12 @@
     find_line_end(rest).map(|n| (&rest[..n], at + n + 2))
 }
 
-/// Classifies an answer whose header has no line end yet. One with a line that is too long is treated as
-/// buffered, so that reading it reports the error.
-fn incomplete_unless(too_long: bool) -> Header {
-    if too_long {
-        Header::Buffered
-    } else {
-        Header::Incomplete
+/// Classifies an answer whose header has no line end yet. One with an invalid line is treated as buffered, so
+/// that reading it reports the error.
+fn classify_partial_line(line: &[u8]) -> Header {
+    match check_partial_line(line) {
+        Ok(()) => Header::Incomplete,
+        Err(_) => Header::Buffered,
     }
 }
 
--- a/crates/gateway/src/resp/header/tests.rs
+++ b/crates/gateway/src/resp/header/tests.rs
@@ -11,9 +11,19 @@
         };
         assert_eq!(read_header(&answer.as_bytes()[..received]), expected, "{received} bytes");
     }
-    for buffered in
-        ["-BUSY\r\n", "+PONG", "*3\r\n$4\r\nfine", "*3\r\n-ERR", "*1\r\n$-1\r\n", "*x\r\n$999999\r\n"]
-    {
+    // The last four are corrupt, and the rest of the header is not waited for.
+    for buffered in [
+        "-BUSY\r\n",
+        "+PONG",
+        "*3\r\n$4\r\nfine",
+        "*3\r\n-ERR",
+        "*1\r\n$-1\r\n",
+        "*x\r\n$999999\r\n",
+        "*99999\r\n",
+        "*3x",
+        "*3\r\n$12x",
+        "*3\r\n$99999999999",
+    ] {
         assert_eq!(read_header(buffered.as_bytes()), Header::Buffered, "{buffered}");
     }
 }
--- a/crates/gateway/src/streaming.rs
+++ b/crates/gateway/src/streaming.rs
@@ -1,7 +1,6 @@
 //! Streamed values: values too long to be buffered, forwarded to the client chunk by chunk as they arrive.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use tokio::sync::{mpsc, OwnedSemaphorePermit, Semaphore};
@@ -12,8 +11,6 @@
 pub const MAX_CHUNK_BYTES: usize = 8 * 1024;
 /// Bytes that must be available in the budget for each byte taken to hold a value back.
 const AVAILABLE_PER_HELD_BYTE: usize = 2;
-/// Maximum time between two reads of a value from a backend.
-pub const STREAM_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// The receiving half of a streamed value, from which it is written to the client.
 #[derive(Debug)]
--- a/crates/gateway/src/upstream/exchange.rs
+++ b/crates/gateway/src/upstream/exchange.rs
@@ -12,13 +12,14 @@
 use super::connection::Connection;
 use super::reply::Reply;
 use crate::resp::{self, Header};
-use crate::streaming::{ValueWriter, MAX_CHUNK_BYTES, STREAM_IDLE_TIMEOUT};
+use crate::streaming::{ValueWriter, MAX_CHUNK_BYTES};
 
-/// Maximum time between two reads of an answer that has begun. Backends write answers in several parts, and
-/// may take seconds for all of them.
-const REPLY_PAUSE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Maximum time between two reads of an answer that has begun, whatever its length. Backends write answers in
+/// parts with pauses of seconds. A pause is longer than this only if TCP has lost five transmissions in a row,
+/// or the backend no longer writes.
+const ANSWER_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Minimum time allowed for the rest of an answer after its header or streamed value.
-const REMAINDER_TIMEOUT: Duration = Duration::from_millis(250);
+const REMAINDER_TIMEOUT: Duration = ANSWER_IDLE_TIMEOUT;
 
 /// The deadlines of an exchange.
 #[derive(Clone, Copy, Debug)]
@@ -87,8 +88,6 @@
         self.fill_buffer().await?;
         loop {
             match resp::read_header(&self.buffer) {
-                // Times out early, so that a corrupt header that never ends does not hold the request until
-                // its deadline.
                 Header::Incomplete => self.fill_buffer_with_timeout().await?,
                 header => return Ok(header),
             }
@@ -109,7 +108,7 @@
             // A new buffer of fixed capacity, as the old one would grow by data that the client does not take
             // yet.
             self.buffer = BytesMut::with_capacity(MAX_CHUNK_BYTES);
-            match timeout(STREAM_IDLE_TIMEOUT, self.stream.read_buf(&mut self.buffer)).await {
+            match timeout(ANSWER_IDLE_TIMEOUT, self.stream.read_buf(&mut self.buffer)).await {
                 Ok(Ok(n)) if n > 0 => {}
                 _ => return Err(Outcome::Reset),
             }
@@ -136,9 +135,9 @@
         }
     }
 
-    /// Reads more of an answer that has begun, within [`REPLY_PAUSE_TIMEOUT`].
+    /// Reads more of an answer that has begun, within [`ANSWER_IDLE_TIMEOUT`].
     async fn fill_buffer_with_timeout(&mut self) -> Result<(), Outcome> {
-        timeout(REPLY_PAUSE_TIMEOUT, self.fill_buffer()).await.unwrap_or(Err(Outcome::Error))
+        timeout(ANSWER_IDLE_TIMEOUT, self.fill_buffer()).await.unwrap_or(Err(Outcome::Error))
     }
 
     async fn fill_buffer(&mut self) -> Result<(), Outcome> {
--- a/crates/gateway/tests/streamed_values.rs
+++ b/crates/gateway/tests/streamed_values.rs
@@ -237,6 +237,69 @@
     assert_eq!(client.read(), "fine");
 }
 
+/// Time between two pieces of an answer: more than a round trip, and far less than backends may take.
+const PAUSE_BETWEEN_PIECES: Duration = Duration::from_millis(400);
+
+/// Sends one request that is not idempotent, answers it with a value of `length` bytes in pieces that end at
+/// `cuts`, with pauses between them, and returns what the client reads.
+fn read_value_sent_with_pauses(length: usize, cuts: &[usize]) -> (String, String) {
+    let rig = Rig::with_config(1, |_| {});
+    let mut client = rig.gateway.client();
+    client.send(&as_strs(&request_args(1, "unsafe", "free", 1, 8000)));
+    let (_, mut arrived) = rig.next_request();
+    let value = varied_text(length);
+    let answer = format!("*3\r\n${length}\r\n{value}\r\n$13\r\nused=0,cost=1\r\n$-1\r\n");
+    let mut begin = 0;
+    for end in cuts.iter().copied().chain([answer.len()]) {
+        arrived.reply(&answer[begin..end]);
+        begin = end;
+        thread::sleep(PAUSE_BETWEEN_PIECES);
+    }
+    let received = client.read();
+    // The connection to the backend is used again, so the whole answer was read.
+    assert_eq!(rig.serve_one(&mut client, 2).1.connection, 0);
+    (value, received)
+}
+
+/// Guards against a long value that is cut off because its backend pauses within the header of the answer.
+#[test]
+fn streamed_value_with_pauses_in_its_header_arrives_whole() {
+    let (value, received) = read_value_sent_with_pauses(100 * 1024, &[1, 6, 40_000]);
+    assert!(received == value, "{:.80?}", received);
+}
+
+/// Guards against a short value that is cut off because its backend pauses.
+#[test]
+fn buffered_value_with_pauses_arrives_whole() {
+    let (value, received) = read_value_sent_with_pauses(60 * 1024, &[1, 6, 40_000]);
+    assert!(received == value, "{:.80?}", received);
+}
+
+/// Guards against losing what a backend reports behind a value that ends after the request's deadline: it is
+/// read however late the value is, and the connection is used again.
+#[test]
+fn report_behind_value_after_the_deadline_is_read() {
+    let rig = Rig::with_config(1, |config| {
+        config["settings"]["profiles"][0]["deadline-ms"] = serde_json::json!(1_500.0);
+    });
+    let mut client = rig.gateway.client();
+    client.send(&as_strs(&request_args(1, "safe", "free", 1, 1500)));
+    let (_, mut arrived) = rig.next_request();
+    let value = varied_text(100 * 1024);
+    let rest = start_response(&mut arrived, &value, 1);
+    thread::sleep(Duration::from_millis(1_500));
+    arrived.reply(rest);
+    assert!(client.read() == value);
+    thread::sleep(PAUSE_BETWEEN_PIECES);
+    arrived.reply("\r\n$13\r\nused=0,cost=1\r\n$-1\r\n");
+    thread::sleep(PAUSE_BETWEEN_PIECES);
+    client.send(&as_strs(&request_args(2, "safe", "free", 1, 1500)));
+    let (_, mut next) = rig.next_request();
+    assert_eq!(next.connection, arrived.connection);
+    next.serve("fine");
+    assert_eq!(client.read(), "fine");
+}
+
 /// Guards against buffering whole values that clients do not read yet: twenty values of 4 MiB are in progress
 /// under a memory limit of 32 MB.
 #[test]
