Requests of a connection are forwarded one after another

Seen: a charge behind a long value on one connection ran and was never answered, when the value's backend broke off after the value had begun to be passed on.

Cause: commands of a connection ran side by side. A value can be held back for less than 2 s; an early end after that ends the connection, and what has run behind it can't be answered. Holding for another time only moves that moment.

The hold of 1.5 s stays, so that the connection survives an early end. After that it is closed with a reset if commands were read that were not executed. The time of a request runs from when its last byte was read, so that backends are told what is left, and a request whose time is over is rejected.

--- a/crates/gateway/src/client/connection.rs
+++ b/crates/gateway/src/client/connection.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::{Buf, BytesMut};
-use redis_protocol::resp2::types::BytesFrame;
+use gateway_policy::reload::ServiceSettings;
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 use tokio::time::{sleep, Instant, Sleep};
@@ -15,7 +15,7 @@
 
 use super::admission::Activity;
 use super::idle_policy::ConnectionUsage;
-use super::input_buffer::{InputBuffer, NextCommand};
+use super::input_buffer::{InputBuffer, NextCommand, ReceivedCommand};
 use super::pending_answers::{AwaitedAnswer, PendingAnswers};
 use super::shutdown::{ConnectionState, FIRST_COMMAND_TIMEOUT, IDLE_CLOSE_DELAY};
 use super::stream::{forward, linger, peer_closed, write, Disconnected};
@@ -24,8 +24,8 @@
 use crate::memory::MemoryPermit;
 use crate::resp::{Answer, Body, BufferedValue, Call, Command, LINE_END};
 
-/// Maximum number of unanswered commands; further ones are not parsed.
-const MAX_PIPELINED_COMMANDS: usize = 32;
+/// Maximum number of answers that are not written; further commands are not parsed.
+const MAX_PENDING_ANSWERS: usize = 32;
 /// Maximum time from the first byte of a command to its last. Clients may take 2 s to send the head.
 const COMMAND_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Capacity of the output buffer that is kept while it is empty, bytes.
@@ -100,6 +100,9 @@
         }
         if self.state == ConnectionState::Lingering {
             linger(&mut self.stream).await;
+        } else if !self.input.is_empty() {
+            // Tells the client that not all of its commands were executed, as if they had not been read.
+            let _ = self.stream.set_zero_linger();
         }
     }
 
@@ -119,7 +122,7 @@
             self.state = ConnectionState::Draining { since: Instant::now() };
         }
         let may_read = self.state.may_read() && !self.pending.is_streaming();
-        let reading = may_read && self.pending.len() < MAX_PIPELINED_COMMANDS;
+        let reading = may_read && self.may_parse();
         // Without reading ahead, a client that sends many commands and closes would go unnoticed until the
         // unanswered ones are answered.
         let reading_ahead = may_read && !reading && self.input.try_make_room_ahead(&self.clients.memory);
@@ -152,10 +155,10 @@
     /// Removes the complete commands from the input and begins to execute them.
     async fn parse_commands(&mut self) -> Result<(), Disconnected> {
         while self.may_parse() {
-            let (frame, permit) = match self.input.next_command() {
-                Ok(NextCommand::Complete(frame, permit)) => (Some(frame), permit),
-                Ok(NextCommand::Discarded) => (None, None),
+            let command = match self.input.next_command() {
                 Ok(NextCommand::Partial) => return Ok(()),
+                Ok(NextCommand::Discarded) => None,
+                Ok(NextCommand::Complete(command)) => Some(command),
                 Err(malformed) => {
                     self.input.clear();
                     self.close_with_error(malformed.0);
@@ -164,8 +167,8 @@
             };
             self.command_since = None;
             self.activity.count_command();
-            match frame {
-                Some(frame) => self.execute(frame, permit).await?,
+            match command {
+                Some(command) => self.execute(command).await?,
                 None => self.pending.push_ready(Answer::Rejected(None)),
             }
         }
@@ -174,16 +177,17 @@
 
     /// Whether the next command may be executed.
     fn may_parse(&self) -> bool {
-        let has_room = self.pending.len() < MAX_PIPELINED_COMMANDS;
-        self.state != ConnectionState::Closing && has_room && !self.pending.is_streaming()
+        let has_room = self.pending.len() < MAX_PENDING_ANSWERS;
+        self.state != ConnectionState::Closing && has_room && !self.pending.may_end_early()
     }
 
-    /// Answers a command, or hands it to the event loop if it is a request. `permit` covers the memory in which
-    /// the command was received.
-    async fn execute(&mut self, frame: BytesFrame, permit: Option<MemoryPermit>) -> Result<(), Disconnected> {
+    /// Answers a command, or hands it to the event loop if it is a request.
+    async fn execute(&mut self, command: ReceivedCommand) -> Result<(), Disconnected> {
+        let ReceivedCommand { frame, received_at, memory_permit } = command;
         let service_settings = Arc::clone(&self.clients.service_settings.borrow());
-        let answer = match Command::parse(frame, &service_settings.settings, &service_settings.names) {
-            Ok(Command::Call(call)) => return self.submit_request(call, permit).await,
+        let ServiceSettings { settings, names, .. } = &*service_settings;
+        let answer = match Command::parse(frame, received_at, settings, names) {
+            Ok(Command::Call(call)) => return self.submit_request(call, memory_permit).await,
             Ok(Command::Ping) if *self.clients.drained.borrow() => Answer::Drained,
             Ok(Command::Ping) => Answer::Pong,
             Err(invalid) => Answer::Invalid(invalid.0),
@@ -213,7 +217,7 @@
         call.memory_permit = permit;
         let id = self.clients.last_request.fetch_add(1, Ordering::Relaxed) + 1;
         let (reply, answer) = oneshot::channel();
-        let deadline = Instant::now() + Duration::from_secs_f64(call.wait_ms / 1000.0);
+        let deadline = call.received_at + Duration::from_secs_f64(call.wait_ms / 1000.0);
         // Fails only after the event loop has ended.
         let _ = self.clients.inbox.send(Input::Request { id, call: (*call).into(), reply }).await;
         self.pending.push_awaited(AwaitedAnswer { id, deadline, answer });
@@ -324,7 +328,7 @@
                 () = peer_closed(&self.stream) => return Err(Disconnected),
             }
         }
-        match readable.and_then(|()| self.input.try_read(&self.stream)) {
+        match readable.and_then(|()| self.input.try_read(&self.stream, parsing)) {
             Ok(n) if n > 0 => Ok(()),
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(()),
             Ok(_) | Err(_) => Err(Disconnected),
@@ -334,7 +338,7 @@
     /// Reads input that arrived just before the connection was to close. Returns whether there was any.
     fn read_available(&mut self) -> bool {
         let closing = self.state == ConnectionState::Closing;
-        !closing && matches!(self.input.try_read(&self.stream), Ok(n) if n > 0)
+        !closing && matches!(self.input.try_read(&self.stream, true), Ok(n) if n > 0)
     }
 
     /// Reports to the event loop that the client of the unanswered requests has disconnected.
--- a/crates/gateway/src/client/input_buffer.rs
+++ b/crates/gateway/src/client/input_buffer.rs
@@ -1,10 +1,12 @@
 //! The input of a client connection: what was read and not parsed yet, within the memory budget.
 
+use std::collections::VecDeque;
 use std::io;
 
 use bytes::BytesMut;
 use redis_protocol::resp2::types::BytesFrame;
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 
 use crate::memory::{MemoryBudget, MemoryPermit};
 use crate::resp::{self, CommandSkipper, Malformed, Progress, FIRST_READ_BYTES};
@@ -14,11 +16,21 @@
 /// Capacity for commands that are read ahead, bytes.
 const READ_AHEAD_BYTES: usize = 8 * 1024;
 
+/// A command that was received completely.
+#[derive(Debug)]
+pub(super) struct ReceivedCommand {
+    pub frame: BytesFrame,
+    /// When its last byte was read.
+    pub received_at: Instant,
+    /// Permit for the memory in which it was received, if it is long.
+    pub memory_permit: Option<MemoryPermit>,
+}
+
 /// What the client sent next.
 #[derive(Debug)]
 pub(super) enum NextCommand {
-    /// A complete command, and the permit for its memory if it is long.
-    Complete(BytesFrame, Option<MemoryPermit>),
+    /// A complete command.
+    Complete(ReceivedCommand),
     /// A command that was discarded, as there was no memory for it.
     Discarded,
     /// Nothing, or a part of a command.
@@ -33,6 +45,7 @@
     permit: Option<MemoryPermit>,
     /// Set while a command is discarded.
     skipper: Option<CommandSkipper>,
+    arrivals: Arrivals,
 }
 
 impl InputBuffer {
@@ -48,15 +61,19 @@
 
     /// Removes the next command.
     pub fn next_command(&mut self) -> Result<NextCommand, Malformed> {
+        let length = self.bytes.len();
         if let Some(skipper) = &mut self.skipper {
-            if !skipper.skip(&mut self.bytes)? {
+            let ended = skipper.skip(&mut self.bytes)?;
+            self.arrivals.consume(length - self.bytes.len());
+            if !ended {
                 return Ok(NextCommand::Partial);
             }
             self.skipper = None;
             return Ok(NextCommand::Discarded);
         }
         let Some(frame) = resp::next_frame(&mut self.bytes)? else { return Ok(NextCommand::Partial) };
-        Ok(NextCommand::Complete(frame, self.release()))
+        let received_at = self.arrivals.consume(length - self.bytes.len());
+        Ok(NextCommand::Complete(ReceivedCommand { frame, received_at, memory_permit: self.release() }))
     }
 
     /// Moves what is left to a buffer of its own, without a permit if it fits into the first read. Returns the
@@ -105,8 +122,8 @@
         true
     }
 
-    /// Reads what is available, as far as there is room.
-    pub fn try_read(&mut self, stream: &TcpStream) -> io::Result<usize> {
+    /// Reads what is available, as far as there is room. `parsing`: no complete command was left unparsed.
+    pub fn try_read(&mut self, stream: &TcpStream, parsing: bool) -> io::Result<usize> {
         if self.bytes.len() == self.bytes.capacity() {
             let capacity = self.allowed_bytes();
             if self.bytes.len() >= capacity {
@@ -114,7 +131,13 @@
             }
             self.reallocate(capacity);
         }
-        stream.try_read_buf(&mut self.bytes)
+        let read = stream.try_read_buf(&mut self.bytes)?;
+        if parsing {
+            self.arrivals.restart(self.bytes.len());
+        } else {
+            self.arrivals.add(read);
+        }
+        Ok(read)
     }
 
     /// Returns the capacity that the next command needs, as far as it is known.
@@ -158,3 +181,55 @@
         self.bytes = bytes;
     }
 }
+
+/// Maximum number of reads whose times are kept apart.
+const MAX_ARRIVALS: usize = 32;
+
+/// When the bytes in the buffer were read.
+#[derive(Debug, Default)]
+struct Arrivals {
+    reads: VecDeque<Arrival>,
+}
+
+/// Bytes that were read at once.
+#[derive(Debug)]
+struct Arrival {
+    bytes: usize,
+    at: Instant,
+}
+
+impl Arrivals {
+    /// Records a read after which the buffer holds `bytes`. No command was complete before, so the earlier bytes
+    /// belong to one that this read may have completed.
+    fn restart(&mut self, bytes: usize) {
+        self.reads.clear();
+        self.add(bytes);
+    }
+
+    /// Records a read. If there are too many, it counts as part of the previous one: a client's time may then
+    /// seem to end too early, but never too late.
+    fn add(&mut self, bytes: usize) {
+        let is_full = self.reads.len() >= MAX_ARRIVALS;
+        match self.reads.back_mut() {
+            Some(last) if is_full => last.bytes += bytes,
+            _ => self.reads.push_back(Arrival { bytes, at: Instant::now() }),
+        }
+    }
+
+    /// Removes bytes from the front. Returns when the last of them was read.
+    fn consume(&mut self, mut bytes: usize) -> Instant {
+        while let Some(first) = self.reads.front_mut() {
+            if first.bytes > bytes {
+                first.bytes -= bytes;
+                return first.at;
+            }
+            bytes -= first.bytes;
+            let at = first.at;
+            self.reads.pop_front();
+            if bytes == 0 {
+                return at;
+            }
+        }
+        Instant::now()
+    }
+}
--- a/crates/gateway/src/client/pending_answers.rs
+++ b/crates/gateway/src/client/pending_answers.rs
@@ -1,8 +1,9 @@
 //! The answers that a client connection still owes, in the order of its commands.
 //!
-//! If a streamed value ends early, its connection has to be closed, and the answers behind it are lost with
-//! it. A streamed value with commands behind it is therefore held back until it is complete, within bounds of
-//! time and memory. If it ends early then, only its own request fails.
+//! If a streamed value ends early, its connection has to be closed, and nothing behind it can be answered. So no
+//! request is executed before the answer ahead of it is complete. A streamed value with
+//! commands behind it is also held back until it is complete, within bounds of time and memory: if it ends early
+//! then, only its own request fails, and the connection goes on.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -55,12 +56,21 @@
         self.queue.is_empty()
     }
 
-    /// Whether the next answer is a streamed value. No command must be read or executed before it is written:
-    /// its answer would be lost if the value ended early.
+    /// Whether the next answer is a streamed value. No command must be read before it is written.
     pub fn is_streaming(&self) -> bool {
         matches!(self.queue.front(), Some(Pending::Held { .. } | Pending::Ready(Answer::Streamed(_))))
     }
 
+    /// Whether the last answer is one that may turn out to be a streamed value. No command must be executed before
+    /// that is known: its answer would be lost if the value ended early.
+    pub fn may_end_early(&self) -> bool {
+        match self.queue.back() {
+            Some(Pending::Awaited(_) | Pending::Held { .. }) => true,
+            Some(Pending::Ready(answer)) => matches!(answer, Answer::Streamed(_)),
+            None => false,
+        }
+    }
+
     /// Whether the next answer is a value that is held back.
     pub fn is_holding(&self) -> bool {
         matches!(self.queue.front(), Some(Pending::Held { .. }))
--- a/crates/gateway/src/event_loop.rs
+++ b/crates/gateway/src/event_loop.rs
@@ -256,7 +256,10 @@
 
     fn handle_request(&mut self, id: u64, call: Arc<Call>, reply: oneshot::Sender<Answer>) {
         let now_ms = self.clock.now_ms();
-        let expires_ms = (now_ms + (call.wait_ms - TRANSIT_MARGIN_MS).max(0.0)).min(self.answer_by_ms);
+        // The client's time runs while the request waits behind others on its connection, and for memory.
+        let waited_ms = call.received_at.elapsed().as_secs_f64() * 1000.0;
+        let left_ms = (call.wait_ms - TRANSIT_MARGIN_MS - waited_ms).max(0.0);
+        let expires_ms = (now_ms + left_ms).min(self.answer_by_ms);
         let request = Request {
             id,
             customer: call.customer,
--- a/crates/gateway/src/resp/command.rs
+++ b/crates/gateway/src/resp/command.rs
@@ -7,6 +7,7 @@
 use gateway_policy::interface::{Idempotency, Settings};
 use gateway_policy::settings::SettingNames;
 use redis_protocol::resp2::types::BytesFrame;
+use tokio::time::Instant;
 
 use super::frame::{encode_frame, LINE_END};
 use crate::memory::MemoryPermit;
@@ -54,6 +55,8 @@
     pub wait_ms: f64,
     /// Whether the client marks the request as a retry.
     pub retry: bool,
+    /// When the last byte of the request was read.
+    pub received_at: Instant,
     forwarded: Forwarded,
     /// Permit of the memory budget of requests and answers.
     pub memory_permit: Option<MemoryPermit>,
@@ -161,6 +164,7 @@
     /// Parses a client's command. Class and plan are looked up by their names in the settings.
     pub fn parse(
         frame: BytesFrame,
+        received_at: Instant,
         settings: &Settings,
         names: &SettingNames,
     ) -> Result<Command, InvalidCommand> {
@@ -209,6 +213,7 @@
             fan_out,
             wait_ms: f64::from(wait.ms).min(class_settings.deadline_ms),
             retry,
+            received_at,
             forwarded,
             memory_permit: None,
         })))
