A closing connection waits until its client has taken the answer

Seen: clients that read values of 400 KiB slowly lost the rest of them when their gateway was drained and they sent their next request meanwhile; the backends had written all of the values.

Cause: a connection counted as idle once the last byte was written to its socket, and was closed 0.2 s later. The system sends on from a closed socket, but a client's next bytes reset it, and the unsent rest is lost.

Change: before the sending side is closed, the gateway waits until the system has sent everything, and discards input meanwhile. That is read from the socket: with TCP_NOTSENT_LOWAT at 1 it is writable only then. A client that accepts nothing for 10 s, as in every write, is disconnected by TCP_USER_TIMEOUT. A connection whose client still reads is not closed for a new one, and lingers at the end of its idle time.

--- a/crates/gateway/src/client/connection.rs
+++ b/crates/gateway/src/client/connection.rs
@@ -18,7 +18,7 @@
 use super::input_buffer::{InputBuffer, NextCommand, ReceivedCommand};
 use super::pending_answers::{AwaitedAnswer, PendingAnswers};
 use super::shutdown::{ConnectionState, FIRST_COMMAND_TIMEOUT, IDLE_CLOSE_DELAY};
-use super::stream::{forward, linger, peer_closed, write, Disconnected};
+use super::stream::{forward, has_unsent_bytes, linger, peer_closed, write, Disconnected};
 use super::Clients;
 use crate::input::Input;
 use crate::memory::MemoryPermit;
@@ -147,7 +147,7 @@
                 timer.as_mut().reset(Instant::now() + IDLE_CLOSE_DELAY);
                 Ok(())
             }
-            () = self.activity.close_requested.notified() => self.close_if_idle(),
+            () = self.activity.close_requested.notified() => self.close_if_unused(),
             () = timer.as_mut() => self.on_timer(timer),
         }
     }
@@ -310,12 +310,24 @@
         Ok(())
     }
 
+    /// Closes the connection if it is idle, no input is available, and the client is not still reading an answer.
+    fn close_if_unused(&mut self) -> Result<(), Disconnected> {
+        if has_unsent_bytes(&self.stream) {
+            return Ok(());
+        }
+        self.close_if_idle()
+    }
+
     /// Closes the connection if it is idle and no input is available.
     fn close_if_idle(&mut self) -> Result<(), Disconnected> {
-        if self.idle_since.is_some() && !self.read_available() {
-            return Err(Disconnected);
+        if self.idle_since.is_none() || self.read_available() {
+            return Ok(());
         }
-        Ok(())
+        if has_unsent_bytes(&self.stream) {
+            self.state = ConnectionState::Lingering;
+            return Ok(());
+        }
+        Err(Disconnected)
     }
 
     /// Reads from the stream after it became readable. If the input is to be parsed at once (`parsing`), waits
--- a/crates/gateway/src/client/stream.rs
+++ b/crates/gateway/src/client/stream.rs
@@ -1,11 +1,17 @@
 //! Operations on a client's TCP stream: writes that stop when the client disconnects, and the lingering
 //! close.
+//!
+//! A value that was written may still be in the system's send buffer for as long as the client reads slowly.
+//! Closing the socket then is safe only until the client sends anything: the system answers that with a reset,
+//! and the unsent part of the value is lost.
 
 use std::io;
 use std::time::Duration;
 
 use bytes::Buf;
-use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
+use socket2::SockRef;
+use tokio::io::{AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
@@ -14,10 +20,16 @@
 
 /// A client that accepts no bytes for this long is treated as disconnected.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Interval at which the send buffer of a connection that is to close is checked.
+const UNSENT_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// How long a client may take to close after the gateway has closed its sending side.
 pub(super) const LINGER_TIMEOUT: Duration = Duration::from_millis(200);
 /// Maximum number of bytes discarded during that time.
 const MAX_LINGER_BYTES: usize = 256 * 1024;
+/// Bytes discarded by one read.
+const DISCARD_READ_BYTES: usize = 4096;
+/// Makes the system use its own limit of unsent bytes.
+const DEFAULT_NOTSENT_LOWAT: u32 = 0;
 /// Polling interval for a client that has sent TCP urgent data.
 const URGENT_BACKOFF: Duration = Duration::from_millis(50);
 
@@ -66,22 +78,67 @@
     write(stream, LINE_END).await
 }
 
-/// Closes the sending side and discards input until the client has closed, within bounds of time and bytes.
-/// Closing a socket with unread input would reset the connection, and the client could lose the last answer.
+/// Whether the system holds bytes that it has not sent, as the client does not read.
+pub(super) fn has_unsent_bytes(stream: &TcpStream) -> bool {
+    let socket = SockRef::from(stream);
+    // With this limit, a socket is writable only if everything that was written to it has been sent.
+    if socket.set_tcp_notsent_lowat(1).is_err() {
+        return false;
+    }
+    let mut polled = [PollFd::new(stream, PollFlags::OUT)];
+    let polling = poll(&mut polled, Some(&Timespec::default()));
+    // Fails only on a connection that is broken.
+    let _ = socket.set_tcp_notsent_lowat(DEFAULT_NOTSENT_LOWAT);
+    polling.is_ok() && polled[0].revents().is_empty()
+}
+
+/// Waits until everything that was written has been sent, then closes the sending side, and discards input until
+/// the client has closed, within bounds of time and bytes. Closing a socket with unread input would reset the
+/// connection, and the client could lose the last answer.
 pub(super) async fn linger(stream: &mut TcpStream) {
-    let _ = timeout(LINGER_TIMEOUT, discard(stream)).await;
+    let mut input = DiscardedInput { remaining: MAX_LINGER_BYTES };
+    if has_unsent_bytes(stream) {
+        // The system breaks the connection if the client accepts no bytes for this long.
+        let _ = SockRef::from(&*stream).set_tcp_user_timeout(Some(WRITE_TIMEOUT));
+        tokio::select! {
+            () = until_sent(stream) => {}
+            () = input.until_closed(stream) => return,
+        }
+    }
+    if stream.shutdown().await.is_ok() {
+        let _ = timeout(LINGER_TIMEOUT, input.until_closed(stream)).await;
+    }
 }
 
-async fn discard(stream: &mut TcpStream) -> io::Result<()> {
-    stream.shutdown().await?;
-    let (mut discarded, mut remaining) = ([0; 4096], MAX_LINGER_BYTES);
-    while remaining > 0 {
-        match stream.read(&mut discarded).await? {
-            0 => break,
-            n => remaining = remaining.saturating_sub(n),
+/// Waits until the system has sent everything that was written, or the connection breaks.
+async fn until_sent(stream: &TcpStream) {
+    while has_unsent_bytes(stream) {
+        sleep(UNSENT_CHECK_INTERVAL).await;
+    }
+}
+
+/// Input that is read and discarded.
+struct DiscardedInput {
+    /// Maximum number of further bytes.
+    remaining: usize,
+}
+
+impl DiscardedInput {
+    /// Discards input until the client closes or the connection breaks. Stops reading after the maximum number of
+    /// bytes, but still waits.
+    async fn until_closed(&mut self, stream: &TcpStream) {
+        while self.remaining > 0 {
+            if stream.readable().await.is_err() {
+                return;
+            }
+            match stream.try_read(&mut [0; DISCARD_READ_BYTES]) {
+                Ok(n) if n > 0 => self.remaining = self.remaining.saturating_sub(n),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Ok(_) | Err(_) => return,
+            }
         }
+        peer_closed(stream).await;
     }
-    Ok(())
 }
 
 /// Waits until the client has closed its sending side, even if there is unread input before that.
--- a/crates/gateway/tests/management.rs
+++ b/crates/gateway/tests/management.rs
@@ -206,3 +206,116 @@
     // Callers of READY time out after 1 s; the response takes a few ms even on a slow machine.
     assert!(slowest < Some(Duration::from_secs(1)), "{slowest:?}");
 }
+
+/// Length of a value that fits into the socket buffers of the gateway, but not into those of a slow client, bytes.
+const SLOWLY_READ_VALUE: usize = 400 * 1024;
+/// Bytes that a slow client reads at once.
+const SLOW_READ: usize = 8 * 1024;
+/// Time between two reads of a slow client.
+const SLOW_READ_INTERVAL: Duration = Duration::from_millis(40);
+
+/// Connects a client whose system takes little before the client reads it.
+fn connect_slow_client(rig: &Rig) -> TcpStream {
+    let socket =
+        socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("create a socket");
+    socket.set_recv_buffer_size(32 * 1024).expect("set the receive buffer");
+    socket.connect(&rig.gateway.address.into()).expect("connect to the gateway");
+    let stream = TcpStream::from(socket);
+    stream.set_read_timeout(Some(MESSAGE_TIMEOUT)).expect("set the read timeout");
+    stream
+}
+
+/// Reads a value slowly, and sends another request after half of it. Returns the number of bytes up to the end of
+/// the value or of the connection.
+fn read_slowly_and_send_on(stream: &mut TcpStream, next_id: u64) -> usize {
+    let whole = format!("${SLOWLY_READ_VALUE}\r\n").len() + SLOWLY_READ_VALUE + 2;
+    let (mut received, mut sent, mut buffer) = (0, false, [0; SLOW_READ]);
+    while received < whole {
+        if !sent && received > SLOWLY_READ_VALUE / 2 {
+            sent = true;
+            let request = command(&as_strs(&request_args(next_id, "unsafe", "free", 1, 8000)));
+            stream.write_all(&request).expect("write to the gateway");
+        }
+        match stream.read(&mut buffer) {
+            Ok(n) if n > 0 => received += n,
+            end => {
+                println!("{received} of {whole} bytes, then {end:?}");
+                return received;
+            }
+        }
+        std::thread::sleep(SLOW_READ_INTERVAL);
+    }
+    received
+}
+
+/// Sends a request of a slow client, and has the backend write the whole of a long value for it.
+fn begin_slow_value(rig: &Rig, id: u64) -> TcpStream {
+    let mut stream = connect_slow_client(rig);
+    let request = command(&as_strs(&request_args(id, "unsafe", "free", 1, 8000)));
+    stream.write_all(&request).expect("write to the gateway");
+    let (_, mut arrived) = rig.next_request();
+    arrived.serve(&"x".repeat(SLOWLY_READ_VALUE));
+    stream
+}
+
+/// Guards against a value that is cut off by a drain: it is written, but the client has not read all of it, and
+/// sends on when the gateway has closed the connection.
+#[test]
+fn value_that_is_read_slowly_arrives_whole_during_drain() {
+    let (rig, management) = managed_rig(1);
+    let mut stream = begin_slow_value(&rig, 1);
+    expect_success(management, "DRAIN");
+    let received = read_slowly_and_send_on(&mut stream, 2);
+    assert!(received > SLOWLY_READ_VALUE, "{received} bytes");
+    // The connection ends behind the value, as it is drained.
+    let mut rest = Vec::new();
+    let _ = stream.read_to_end(&mut rest);
+    assert!(rest.is_empty() && rig.backends_idle(), "the next request was forwarded on a drained connection");
+}
+
+/// Guards against a connection that counts as idle and is closed for a new one while its client still reads a
+/// value.
+#[test]
+fn value_that_is_read_slowly_arrives_whole_while_others_wait_for_its_connection() {
+    let rig = Rig::with_config(1, |config| config["limits"]["sockets"] = json!(34));
+    // The connection that the rig used is closed by now, or soon.
+    std::thread::sleep(Duration::from_millis(200));
+    let mut stream = begin_slow_value(&rig, 1);
+    let address = rig.gateway.address;
+    let others = std::thread::spawn(move || {
+        for _ in 0..10 {
+            let mut other = Client::connect(address);
+            assert_eq!(other.read(), "-BUSY");
+        }
+    });
+    let received = read_slowly_and_send_on(&mut stream, 2);
+    assert!(received > SLOWLY_READ_VALUE, "{received} bytes");
+    others.join().expect("the other clients");
+}
+
+/// Whether the gateway holds a socket of a client, from `/proc/net/tcp`: sockets that were closed have no inode.
+fn has_client_connections(gateway: &Gateway) -> bool {
+    const LISTENING: &str = "0A";
+    const NO_INODE: &str = "0";
+    let port = format!(":{:04X}", gateway.address.port());
+    let path = format!("/proc/{}/net/tcp", gateway.pid());
+    let text = std::fs::read_to_string(path).expect("read procfs of the gateway process");
+    text.lines().skip(1).any(|line| {
+        let columns: Vec<&str> = line.split_whitespace().collect();
+        columns[1].ends_with(&port) && columns[3] != LISTENING && columns[9] != NO_INODE
+    })
+}
+
+/// Guards against a client that reads nothing and keeps its connection from being closed for ever.
+#[test]
+fn connection_of_client_that_stops_reading_is_closed_during_drain() {
+    let (rig, management) = managed_rig(1);
+    let stream = begin_slow_value(&rig, 1);
+    expect_success(management, "DRAIN");
+    let begun = Instant::now();
+    while has_client_connections(&rig.gateway) {
+        assert!(begun.elapsed() < MESSAGE_TIMEOUT, "still open");
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    drop(stream);
+}
