A request that comes again after its client has left is not sent twice

Seen: a charge whose client left before the answer and that came again with the same id was forwarded twice, by one process, and by the two processes of an upgrade.

Cause: ids were remembered only while a request was open, and by one process.

One that comes again gets an error, as the first may have run. While another process of the gateway is running, the ids are shared through an append-only file in the state directory.

--- a/crates/gateway/src/event_loop.rs
+++ b/crates/gateway/src/event_loop.rs
@@ -16,7 +16,7 @@
 use std::time::Duration;
 
 use cold_start::CallBudget;
-use gateway_policy::interface::{Action, Event, Outcome, Request};
+use gateway_policy::interface::{Action, Event, Idempotency, Outcome, Request};
 use gateway_policy::reload::ServiceSettings;
 use gateway_policy::settings::SettingNames;
 use gateway_policy::Policy;
@@ -32,6 +32,7 @@
 use crate::maintenance::{ControlRequest, Partition};
 use crate::memory::MemoryBudget;
 use crate::resp::{Answer, Call};
+use crate::sent_requests::SentRequests;
 use crate::upstream::ConnectionPool;
 use attempts::Attempts;
 use counter_calls::{CounterCalls, NewCall};
@@ -58,6 +59,8 @@
     pub control_plane: ControlPlane,
     /// The settings that client tasks parse requests with.
     pub service_settings: watch::Sender<Arc<ServiceSettings>>,
+    /// Ids of requests that must not be sent again.
+    pub sent_requests: SentRequests,
     /// Resources that are shared with other processes of this gateway.
     pub partitions: Vec<Partition>,
     /// Slots for first connections to backends. `None`: connections are opened when requests need them.
@@ -81,6 +84,7 @@
     ramp: Option<StartRamp>,
     control_plane: ControlPlane,
     requests: Requests,
+    sent_requests: SentRequests,
     attempts: Attempts,
     counter_calls: CounterCalls,
     timers: Timers,
@@ -111,6 +115,7 @@
             ramp: resources.ramp,
             control_plane: resources.control_plane,
             requests: Requests::default(),
+            sent_requests: resources.sent_requests,
             attempts: Attempts::default(),
             counter_calls: CounterCalls::new(resources.counter, resources.counter_budget),
             timers: Timers::new(clock),
@@ -229,6 +234,9 @@
             Action::Reject { id, retry_after_ms } => {
                 // Rounded up: rounding down would allow the retry too early.
                 let retry_after_ms = retry_after_ms.map(|ms| ms.ceil().max(1.0) as u64);
+                if let Some(client_id) = self.requests.client_id(id) {
+                    self.sent_requests.remove(client_id);
+                }
                 self.answer(id, Answer::Rejected(retry_after_ms));
             }
             Action::Fail { id } => self.answer(id, Answer::Failed),
@@ -270,6 +278,11 @@
             deadline_ms: expires_ms,
             retry: call.retry,
         };
+        if self.was_sent_before(&call, now_ms) {
+            // Fails only if the client has disconnected.
+            let _ = reply.send(Answer::Invalid("id was sent already"));
+            return;
+        }
         match self.requests.admit(id, call, expires_ms, reply) {
             Ok(()) => self.handle_event(Event::Request(request)),
             // Fails only if the client has disconnected.
@@ -277,6 +290,18 @@
         }
     }
 
+    /// Whether a request with the same id was sent to a backend before, and must not run again.
+    fn was_sent_before(&mut self, call: &Call, now_ms: f64) -> bool {
+        let is_repeatable = self.is_idempotent(call.class);
+        !is_repeatable && !self.requests.is_open(call.id) && self.sent_requests.contains(call.id, now_ms)
+    }
+
+    /// Whether requests of a class may run any number of times.
+    fn is_idempotent(&self, class: usize) -> bool {
+        let classes = &self.service_settings.borrow().settings.classes;
+        classes.get(class).is_some_and(|class| class.idempotency == Idempotency::Idempotent)
+    }
+
     fn client_disconnected(&mut self, id: u64) {
         if self.requests.take_reply(id).is_some() {
             self.handle_event(Event::ClientDisconnected { id });
--- a/crates/gateway/src/event_loop/control_plane.rs
+++ b/crates/gateway/src/event_loop/control_plane.rs
@@ -104,6 +104,7 @@
     pub fn set_other_processes(&mut self, other_processes: usize) {
         let processes = u32::try_from(other_processes).unwrap_or(u32::MAX).saturating_add(1);
         self.policy.set_process_count(self.clock.now_ms(), processes);
+        self.sent_requests.set_sharing(other_processes > 0, self.clock.now_ms());
         self.partitions.iter_mut().for_each(|partition| partition.set_process_count(processes as usize));
     }
 
--- a/crates/gateway/src/event_loop/requests.rs
+++ b/crates/gateway/src/event_loop/requests.rs
@@ -72,6 +72,16 @@
         Ok(())
     }
 
+    /// Whether a request with this client request id awaits an answer.
+    pub fn is_open(&self, client_id: u64) -> bool {
+        self.client_ids.contains(&client_id)
+    }
+
+    /// Returns the client request id of a request.
+    pub fn client_id(&self, id: u64) -> Option<u64> {
+        self.in_flight.get(&id).map(|request| request.call.id)
+    }
+
     /// Number of requests that await an answer.
     pub fn awaiting_answer(&self) -> usize {
         self.client_ids.len()
--- a/crates/gateway/src/event_loop/sending.rs
+++ b/crates/gateway/src/event_loop/sending.rs
@@ -95,6 +95,10 @@
 
     /// Writes the request of an attempt; the outcome is sent to the inbox.
     fn write(&mut self, key: AttemptKey, connection: Connection) {
+        let Some(call) = self.attempts.get(key).map(|attempt| Arc::clone(&attempt.call)) else { return };
+        if !self.is_idempotent(call.class) {
+            self.sent_requests.add(call.id, self.clock.now_ms());
+        }
         let Some(attempt) = self.attempts.get_mut(key) else { return };
         let wait_ms = (attempt.expires_ms - self.clock.now_ms()).floor().max(1.0) as u64;
         let request = attempt.call.encode(wait_ms);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod maintenance;
 mod memory;
 mod resp;
+mod sent_requests;
 mod server;
 mod streaming;
 mod upstream;
--- a/crates/gateway/src/maintenance/controller.rs
+++ b/crates/gateway/src/maintenance/controller.rs
@@ -2,6 +2,7 @@
 //! applies what other processes of this gateway have stored.
 
 use std::fs::File;
+use std::path::PathBuf;
 use std::time::Duration;
 
 use gateway_policy::interface::UnreportedCharge;
@@ -75,6 +76,12 @@
         count
     }
 
+    /// Returns the path of the file through which processes share the ids of requests that were sent, if there
+    /// is a state directory.
+    pub fn sent_requests_file(&self) -> Option<PathBuf> {
+        self.directory.as_ref().map(StateDirectory::sent_requests_file)
+    }
+
     /// Returns the current maintenance state.
     pub fn state(&self) -> MaintenanceState {
         self.state.clone()
--- a/crates/gateway/src/maintenance/state_directory.rs
+++ b/crates/gateway/src/maintenance/state_directory.rs
@@ -21,6 +21,8 @@
 const LIVENESS_PREFIX: &str = "life-";
 /// File that a process locks while it changes the maintenance state.
 const LOCK_FILE: &str = "book.lock";
+/// File with the ids of requests that were sent, while several processes are running.
+const SENT_REQUESTS_FILE: &str = "sent";
 /// Maximum size of a stored state, bytes.
 const MAX_STATE_BYTES: u64 = 16 << 20;
 
@@ -117,6 +119,11 @@
         Ok(others)
     }
 
+    /// Returns the path of the file through which processes share the ids of requests that were sent.
+    pub fn sent_requests_file(&self) -> PathBuf {
+        self.path.join(SENT_REQUESTS_FILE)
+    }
+
     /// Reads the state of a kind; `None` if there is none.
     ///
     /// # Errors
--- a/crates/gateway/src/server/builder.rs
+++ b/crates/gateway/src/server/builder.rs
@@ -34,6 +34,7 @@
 use crate::event_loop::{ControlPlane, EventLoop, Resources};
 use crate::input::Input;
 use crate::maintenance::{self, ControlRequest, Controller, PendingCommand, ProcessStatus, StateDirectory};
+use crate::sent_requests::SentRequests;
 use crate::upstream::ConnectionPool;
 
 /// Capacity of the channel of inputs to the event loop. Senders wait while it is full.
@@ -91,7 +92,9 @@
     let (connections, (drain, drained)) = (TaskTracker::new(), watch::channel(false));
     let (settings_sender, service_settings) = watch::channel(Arc::new(builder.service_settings.clone()));
     let (ramp, first_backend) = fleet_start.ramp.map(with_first_backend).unzip();
+    let controller = builder.controller(control_sender.clone());
     let resources = Resources {
+        sent_requests: SentRequests::new(controller.sent_requests_file()),
         partitions: budgets.partitions(builder.capacity, &pool),
         pool,
         counter,
@@ -108,7 +111,6 @@
         counter_budget: fleet_start.counter_calls,
     };
     let mut event_loop = EventLoop::new(policy, builder.clock, resources);
-    let controller = builder.controller(control_sender.clone());
     let other_processes = adopt_maintenance_state(&controller, &mut event_loop);
     let (handover, handover_requests) = mpsc::channel(1);
     tokio::spawn(controller.run(commands, handover_requests));
--- a/crates/gateway/tests/upgrade.rs
+++ b/crates/gateway/tests/upgrade.rs
@@ -357,3 +357,40 @@
     let mut third = rig.start();
     third.wait_until_ready();
 }
+
+/// Guards against running a request twice that comes to the new process of an upgrade after its client has left the
+/// old one.
+#[test]
+fn request_that_comes_again_to_new_process_is_not_forwarded_twice() {
+    let mut rig = upgrade_rig();
+    let backend = StandIn::backend();
+    rig.config["known"]["endpoints"] = json!([endpoint("s-0", backend.address, 1, "SERVING", 0.0)]);
+    for class in rig.config["settings"]["profiles"].as_array_mut().expect("JSON array") {
+        class["deadline-ms"] = json!(8_000.0);
+    }
+    let request = command(&as_strs(&request_args(1, "unsafe", "free", 1, 8000)));
+    let mut old = rig.start();
+    old.wait_until_ready();
+    let mut first = Client::connect(rig.address());
+    first.write(&request);
+    let arrived = backend.next();
+    let mut new = rig.start();
+    new.wait_until_ready();
+    old.wait_for_log("1 other processes");
+    // From now on the new process accepts all connections.
+    old.signal("-TERM");
+    std::thread::sleep(Duration::from_millis(200));
+    drop(first);
+    arrived.wait_until_closed();
+    let mut second = Client::connect(rig.address());
+    second.write(&request);
+    assert!(second.read().starts_with("-ERR"));
+    assert!(backend.idle(), "forwarded twice");
+    // The old process may have ended in the meantime.
+    assert!(old.wait_for_exit());
+    new.wait_for_log("0 other processes");
+    let mut third = Client::connect(rig.address());
+    third.write(&request);
+    assert!(third.read().starts_with("-ERR"));
+    assert!(backend.idle(), "forwarded twice");
+}
