--- a/crates/gateway/src/client/connection.rs
+++ b/crates/gateway/src/client/connection.rs
@@ -141,7 +141,9 @@
                 Ok(())
             }
             () = self.pending.progress(has_input) => Ok(()),
-            readable = self.stream.readable(), if reading || reading_ahead => self.read(readable, reading).await,
+            readable = self.stream.readable(), if reading || reading_ahead => {
+                self.read(readable, reading).await
+            }
             () = peer_closed(&self.stream), if !reading => Err(Disconnected),
             () = self.closing.cancelled(), if self.state == ConnectionState::Reading => {
                 timer.as_mut().reset(Instant::now() + IDLE_CLOSE_DELAY);
@@ -310,7 +312,8 @@
         Ok(())
     }
 
-    /// Closes the connection if it is idle, no input is available, and the client is not still reading an answer.
+    /// Closes the connection if it is idle, no input is available, and the client is not still reading an
+    /// answer.
     fn close_if_unused(&mut self) -> Result<(), Disconnected> {
         if has_unsent_bytes(&self.stream) {
             return Ok(());
@@ -330,8 +333,8 @@
         Err(Disconnected)
     }
 
-    /// Reads from the stream after it became readable. If the input is to be parsed at once (`parsing`), waits
-    /// for the memory that the next command needs.
+    /// Reads from the stream after it became readable. If the input is to be parsed at once (`parsing`),
+    /// waits for the memory that the next command needs.
     async fn read(&mut self, readable: io::Result<()>, parsing: bool) -> Result<(), Disconnected> {
         if parsing {
             tokio::select! {
--- a/crates/gateway/src/client/input_buffer.rs
+++ b/crates/gateway/src/client/input_buffer.rs
@@ -76,8 +76,8 @@
         Ok(NextCommand::Complete(ReceivedCommand { frame, received_at, memory_permit: self.release() }))
     }
 
-    /// Moves what is left to a buffer of its own, without a permit if it fits into the first read. Returns the
-    /// permit of the old buffer.
+    /// Moves what is left to a buffer of its own, without a permit if it fits into the first read. Returns
+    /// the permit of the old buffer.
     fn release(&mut self) -> Option<MemoryPermit> {
         if self.bytes.len() > FIRST_READ_BYTES {
             return None;
@@ -107,8 +107,8 @@
         }
     }
 
-    /// Makes room for commands behind those that are being executed. Returns `false` if there is no memory for
-    /// them now.
+    /// Makes room for commands behind those that are being executed. Returns `false` if there is no memory
+    /// for them now.
     pub fn try_make_room_ahead(&mut self, memory: &MemoryBudget) -> bool {
         if self.bytes.len() >= READ_AHEAD_BYTES || self.skipper.is_some() {
             return false;
@@ -199,8 +199,8 @@
 }
 
 impl Arrivals {
-    /// Records a read after which the buffer holds `bytes`. No command was complete before, so the earlier bytes
-    /// belong to one that this read may have completed.
+    /// Records a read after which the buffer holds `bytes`. No command was complete before, so the earlier
+    /// bytes belong to one that this read may have completed.
     fn restart(&mut self, bytes: usize) {
         self.reads.clear();
         self.add(bytes);
--- a/crates/gateway/src/client/pending_answers.rs
+++ b/crates/gateway/src/client/pending_answers.rs
@@ -1,9 +1,9 @@
 //! The answers that a client connection still owes, in the order of its commands.
 //!
-//! If a streamed value ends early, its connection has to be closed, and nothing behind it can be answered. So no
-//! request is executed before the answer ahead of it is complete. A streamed value with
-//! commands behind it is also held back until it is complete, within bounds of time and memory: if it ends early
-//! then, only its own request fails, and the connection goes on.
+//! If a streamed value ends early, its connection has to be closed, and nothing behind it can be answered. So
+//! no request is executed before the answer ahead of it is complete. A streamed value with commands behind it
+//! is also held back until it is complete, within bounds of time and memory: if it ends early then, only its
+//! own request fails, and the connection goes on.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -61,8 +61,8 @@
         matches!(self.queue.front(), Some(Pending::Held { .. } | Pending::Ready(Answer::Streamed(_))))
     }
 
-    /// Whether the last answer is one that may turn out to be a streamed value. No command must be executed before
-    /// that is known: its answer would be lost if the value ended early.
+    /// Whether the last answer is one that may turn out to be a streamed value. No command must be executed
+    /// before that is known: its answer would be lost if the value ended early.
     pub fn may_end_early(&self) -> bool {
         match self.queue.back() {
             Some(Pending::Awaited(_) | Pending::Held { .. }) => true,
--- a/crates/gateway/src/client/stream.rs
+++ b/crates/gateway/src/client/stream.rs
@@ -2,8 +2,8 @@
 //! close.
 //!
 //! A value that was written may still be in the system's send buffer for as long as the client reads slowly.
-//! Closing the socket then is safe only until the client sends anything: the system answers that with a reset,
-//! and the unsent part of the value is lost.
+//! Closing the socket then is safe only until the client sends anything: the system answers that with a
+//! reset, and the unsent part of the value is lost.
 
 use std::io;
 use std::time::Duration;
@@ -92,9 +92,9 @@
     polling.is_ok() && polled[0].revents().is_empty()
 }
 
-/// Waits until everything that was written has been sent, then closes the sending side, and discards input until
-/// the client has closed, within bounds of time and bytes. Closing a socket with unread input would reset the
-/// connection, and the client could lose the last answer.
+/// Waits until everything that was written has been sent, then closes the sending side, and discards input
+/// until the client has closed, within bounds of time and bytes. Closing a socket with unread input would
+/// reset the connection, and the client could lose the last answer.
 pub(super) async fn linger(stream: &mut TcpStream) {
     let mut input = DiscardedInput { remaining: MAX_LINGER_BYTES };
     if has_unsent_bytes(stream) {
@@ -124,8 +124,8 @@
 }
 
 impl DiscardedInput {
-    /// Discards input until the client closes or the connection breaks. Stops reading after the maximum number of
-    /// bytes, but still waits.
+    /// Discards input until the client closes or the connection breaks. Stops reading after the maximum
+    /// number of bytes, but still waits.
     async fn until_closed(&mut self, stream: &TcpStream) {
         while self.remaining > 0 {
             if stream.readable().await.is_err() {
--- a/crates/gateway/src/maintenance/controller.rs
+++ b/crates/gateway/src/maintenance/controller.rs
@@ -76,8 +76,8 @@
         count
     }
 
-    /// Returns the path of the file through which processes share the ids of requests that were sent, if there
-    /// is a state directory.
+    /// Returns the path of the file through which processes share the ids of requests that were sent, if
+    /// there is a state directory.
     pub fn sent_requests_file(&self) -> Option<PathBuf> {
         self.directory.as_ref().map(StateDirectory::sent_requests_file)
     }
--- a/crates/gateway/src/resp/frame.rs
+++ b/crates/gateway/src/resp/frame.rs
@@ -13,8 +13,8 @@
 pub(super) const MAX_ARRAY_ELEMENTS: usize = 16;
 /// Maximum length of a message, bytes. At most this and one further read are buffered.
 const MAX_MESSAGE_BYTES: usize = MAX_VALUE_BYTES + 2 * MAX_LINE_BYTES;
-/// Space for the first read of a message, bytes. Most messages fit into it, and such a small buffer is cheap to
-/// allocate and free. Peers may hold one each without a permit of the memory budget.
+/// Space for the first read of a message, bytes. Most messages fit into it, and such a small buffer is cheap
+/// to allocate and free. Peers may hold one each without a permit of the memory budget.
 pub const FIRST_READ_BYTES: usize = 1024 - 32;
 /// Maximum number of digits of a length.
 const MAX_LENGTH_DIGITS: usize = 10;
@@ -153,8 +153,8 @@
     }
 }
 
-/// Checks a line whose end has not been received. Corrupt bytes may never contain a line end, so waiting for it
-/// would take until a timeout.
+/// Checks a line whose end has not been received. Corrupt bytes may never contain a line end, so waiting for
+/// it would take until a timeout.
 pub(super) fn check_partial_line(line: &[u8]) -> Result<(), Malformed> {
     if line.len() > MAX_LINE_BYTES {
         return Err(Malformed("line too long"));
--- a/crates/gateway/src/sent_requests.rs
+++ b/crates/gateway/src/sent_requests.rs
@@ -1,8 +1,8 @@
 //! Ids of requests that were sent to backends and must not run again, kept for a while after their end.
 //!
 //! A client that has left may come again with the same request, to this process or to another one of the same
-//! gateway. The backends may have run the first one, so the second one must not be sent. While several processes
-//! of a gateway are running, they share the ids through a file in the state directory.
+//! gateway. The backends may have run the first one, so the second one must not be sent. While several
+//! processes of a gateway are running, they share the ids through a file in the state directory.
 
 #[cfg(test)]
 mod tests;
--- a/crates/gateway/src/streaming.rs
+++ b/crates/gateway/src/streaming.rs
@@ -33,7 +33,8 @@
 }
 
 impl StreamedValue {
-    /// Waits for memory and begins a value of `length` bytes. Returns `None` if the memory budget is too small.
+    /// Waits for memory and begins a value of `length` bytes. Returns `None` if the memory budget is too
+    /// small.
     pub async fn begin(length: usize, memory: MemoryBudget) -> Option<(ValueWriter, StreamedValue)> {
         let memory_permit = memory.take_for_answer(MEMORY_BYTES).await?;
         let (sender, chunks) = mpsc::channel(1);
--- a/crates/gateway/src/upstream/exchange.rs
+++ b/crates/gateway/src/upstream/exchange.rs
@@ -16,8 +16,8 @@
 use crate::streaming::{ValueWriter, MAX_CHUNK_BYTES};
 
 /// Maximum time between two reads of an answer that has begun, whatever its length. Backends write answers in
-/// parts with pauses of seconds. A pause is longer than this only if TCP has lost five transmissions in a row,
-/// or the backend no longer writes.
+/// parts with pauses of seconds. A pause is longer than this only if TCP has lost five transmissions in a
+/// row, or the backend no longer writes.
 const ANSWER_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Minimum time allowed for the rest of an answer after its header.
 const BUFFERED_REMAINDER_TIMEOUT: Duration = Duration::from_millis(250);
--- a/crates/gateway/tests/departed_clients.rs
+++ b/crates/gateway/tests/departed_clients.rs
@@ -13,8 +13,8 @@
 /// How long a test waits for a message that must not arrive.
 const NO_MESSAGE_WAIT: Duration = Duration::from_millis(300);
 
-/// Guards against forwarding the requests of a client that has left: the end of its stream is behind more unread
-/// commands than the receive buffer of the gateway's system holds.
+/// Guards against forwarding the requests of a client that has left: the end of its stream is behind more
+/// unread commands than the receive buffer of the gateway's system holds.
 #[test]
 fn requests_of_departed_client_behind_much_unread_input_are_not_forwarded() {
     for (commands, body) in [(200, 100), (200, 4_000), (64, 60_000)] {
@@ -49,8 +49,8 @@
             arrived.serve("fine");
         }
         println!(
-            "{commands} commands with {body} bytes, {written} bytes written; {forwarded} forwarded after the end; \
-             first answer written: {}",
+            "{commands} commands with {body} bytes, {written} bytes written; {forwarded} forwarded after the \
+             end; first answer written: {}",
             answered.is_ok()
         );
         assert_eq!(forwarded, 0);
--- a/crates/gateway/tests/disconnect_and_shutdown_races.rs
+++ b/crates/gateway/tests/disconnect_and_shutdown_races.rs
@@ -244,8 +244,8 @@
             .expect("write to the socket");
     }
     let (_, mut first) = rig.next_request();
-    // Far more than the socket buffers hold. The write blocks until the gateway closes the connection, so it runs
-    // in a separate thread.
+    // Far more than the socket buffers hold. The write blocks until the gateway closes the connection, so it
+    // runs in a separate thread.
     let writer = std::thread::spawn(move || {
         let value = "x".repeat(64 << 20);
         let _ = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| first.serve(&value)));
--- a/crates/gateway/tests/management.rs
+++ b/crates/gateway/tests/management.rs
@@ -207,7 +207,8 @@
     assert!(slowest < Some(Duration::from_secs(1)), "{slowest:?}");
 }
 
-/// Length of a value that fits into the socket buffers of the gateway, but not into those of a slow client, bytes.
+/// Length of a value that fits into the socket buffers of the gateway, but not into those of a slow client,
+/// bytes.
 const SLOWLY_READ_VALUE: usize = 400 * 1024;
 /// Bytes that a slow client reads at once.
 const SLOW_READ: usize = 8 * 1024;
@@ -225,8 +226,8 @@
     stream
 }
 
-/// Reads a value slowly, and sends another request after half of it. Returns the number of bytes up to the end of
-/// the value or of the connection.
+/// Reads a value slowly, and sends another request after half of it. Returns the number of bytes up to the
+/// end of the value or of the connection.
 fn read_slowly_and_send_on(stream: &mut TcpStream, next_id: u64) -> usize {
     let whole = format!("${SLOWLY_READ_VALUE}\r\n").len() + SLOWLY_READ_VALUE + 2;
     let (mut received, mut sent, mut buffer) = (0, false, [0; SLOW_READ]);
@@ -258,8 +259,8 @@
     stream
 }
 
-/// Guards against a value that is cut off by a drain: it is written, but the client has not read all of it, and
-/// sends on when the gateway has closed the connection.
+/// Guards against a value that is cut off by a drain: it is written, but the client has not read all of it,
+/// and sends on when the gateway has closed the connection.
 #[test]
 fn value_that_is_read_slowly_arrives_whole_during_drain() {
     let (rig, management) = managed_rig(1);
@@ -293,7 +294,8 @@
     others.join().expect("the other clients");
 }
 
-/// Whether the gateway holds a socket of a client, from `/proc/net/tcp`: sockets that were closed have no inode.
+/// Whether the gateway holds a socket of a client, from `/proc/net/tcp`: sockets that were closed have no
+/// inode.
 fn has_client_connections(gateway: &Gateway) -> bool {
     const LISTENING: &str = "0A";
     const NO_INODE: &str = "0";
--- a/crates/gateway/tests/signals.rs
+++ b/crates/gateway/tests/signals.rs
@@ -116,7 +116,8 @@
     assert!(begun.elapsed() < KILL_AFTER, "{:?}", begun.elapsed());
 }
 
-/// Guards against a request that gets no answer because a value ahead of it is held back when the process exits.
+/// Guards against a request that gets no answer because a value ahead of it is held back when the process
+/// exits.
 #[test]
 fn request_behind_held_value_is_answered_before_exit() {
     let mut rig = Rig::with_config(1, |_| {});
--- a/crates/gateway/tests/streamed_values.rs
+++ b/crates/gateway/tests/streamed_values.rs
@@ -128,8 +128,8 @@
 }
 
 /// Guards against a request that was run and never answered: the value ahead of it took longer than it may be
-/// held back, and ended early after that. The request must not have been forwarded, and the connection ends with
-/// a reset, so that the client can tell.
+/// held back, and ended early after that. The request must not have been forwarded, and the connection ends
+/// with a reset, so that the client can tell.
 #[test]
 fn request_behind_value_truncated_after_its_hold_is_not_forwarded() {
     let rig = Rig::with_config(2, |_| {});
@@ -180,8 +180,8 @@
     assert_reads(&mut client, "$4\r\nfine\r\n");
 }
 
-/// Guards against telling a backend a time that the client of a request no longer has: the request waited behind
-/// others on its connection. One whose time is over is not forwarded.
+/// Guards against telling a backend a time that the client of a request no longer has: the request waited
+/// behind others on its connection. One whose time is over is not forwarded.
 #[test]
 fn request_that_waited_behind_others_has_the_rest_of_its_time() {
     let rig = Rig::with_config(1, |_| {});
--- a/crates/gateway/tests/upgrade.rs
+++ b/crates/gateway/tests/upgrade.rs
@@ -358,8 +358,8 @@
     third.wait_until_ready();
 }
 
-/// Guards against running a request twice that comes to the new process of an upgrade after its client has left the
-/// old one.
+/// Guards against running a request twice that comes to the new process of an upgrade after its client has
+/// left the old one.
 #[test]
 fn request_that_comes_again_to_new_process_is_not_forwarded_twice() {
     let mut rig = upgrade_rig();
