A keyed request is not repeated where its connection was lost

Seen: a backend process ended while it ran a keyed request, another one took its address before the list told of it, and the request was repeated there at once.

Cause: every backend of the cell was taken for one that drops repeats, also the one that had just been lost.

Change: a request that has lost a connection to a backend is not repeated there; the rest of its cell is used as before.

--- a/crates/policy/src/policy/attempt_results.rs
+++ b/crates/policy/src/policy/attempt_results.rs
@@ -56,6 +56,7 @@
         let attempt = open.attempts.get_mut(result.attempt as usize).filter(|attempt| attempt.pending)?;
         attempt.pending = false;
         attempt.may_have_run = !result.outcome.never_executed();
+        attempt.lost_connection = matches!(result.outcome, Outcome::Reset | Outcome::ConnectFailed);
         let attempt = attempt.clone();
         self.fleet.attempt_finished(attempt.sent_at, attempt.overdue);
         let request = open.request.clone();
--- a/crates/policy/src/policy/request.rs
+++ b/crates/policy/src/policy/request.rs
@@ -32,6 +32,11 @@
         self.attempts.iter().filter(|attempt| attempt.may_have_run)
     }
 
+    /// Whether the process that an attempt reached at a backend may have ended since.
+    pub(crate) fn has_lost_connection_to(&self, backend: u32) -> bool {
+        self.attempts.iter().any(|attempt| attempt.backend == backend && attempt.lost_connection)
+    }
+
     pub(crate) fn may_have_run(&self) -> bool {
         self.attempts_that_may_have_run().next().is_some()
     }
@@ -60,6 +65,8 @@
     pub(crate) pending: bool,
     pub(crate) overdue: bool,
     pub(crate) may_have_run: bool,
+    /// Whether its connection was reset or refused: the process may have ended.
+    pub(crate) lost_connection: bool,
 }
 
 impl Attempt {
@@ -78,6 +85,7 @@
             in_flight_at_send,
             pending: true,
             overdue: false,
+            lost_connection: false,
             may_have_run: true,
         }
     }
