Only a process that may have ended keeps a keyed request from its backend

Now the gateway tells the policy (Event::ProcessLost) only if the backend keeps no idle connection open; one that is open proves that its process goes on.

Result: the four tests of address_reuse.rs, those of backends.rs, and all of the policy and the adapter pass.

--- a/crates/gateway/src/event_loop/sending.rs
+++ b/crates/gateway/src/event_loop/sending.rs
@@ -175,6 +175,10 @@
         // not queueing.
         let latency_ms =
             attempt.response_started_ms.unwrap_or_else(|| self.clock.now_ms()) - attempt.decided_ms;
+        let connection_lost = matches!(outcome, Outcome::Reset | Outcome::ConnectFailed);
+        if connection_lost && !self.pool.has_open_idle_connection(attempt.backend) {
+            self.handle_event(Event::ProcessLost { id, attempt: number });
+        }
         self.handle_event(Event::AttemptEnded {
             id,
             attempt: number,
--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -42,9 +42,13 @@
     /// backend has not closed it, and there is no unexpected input. A request written to a connection that
     /// the backend has closed would end in a reset, after which it is unknown whether it ran.
     pub(super) fn is_usable(&self, now: Instant, idle_max: Duration) -> bool {
+        self.is_open() && self.buffer.is_empty() && now.duration_since(self.idle_since) < idle_max
+    }
+
+    /// Whether the backend has neither closed the connection nor sent unexpected input.
+    pub(super) fn is_open(&self) -> bool {
         let read = self.stream.try_read(&mut [0; 1]);
-        let is_silent = matches!(read, Err(e) if e.kind() == io::ErrorKind::WouldBlock);
-        is_silent && self.buffer.is_empty() && now.duration_since(self.idle_since) < idle_max
+        matches!(read, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
     }
 
     /// Whether the connection has cooled down.
--- a/crates/gateway/src/upstream/pool.rs
+++ b/crates/gateway/src/upstream/pool.rs
@@ -239,6 +239,12 @@
         }
     }
 
+    /// Whether the backend keeps an idle connection open, so that its process has not ended.
+    pub fn has_open_idle_connection(&self, backend: u32) -> bool {
+        let pool = self.backends.get(&backend);
+        pool.is_some_and(|pool| pool.idle.iter().any(Connection::is_open))
+    }
+
     /// Takes a connection for a request to a backend.
     pub fn check_out(&mut self, backend: u32, now: Instant) -> Checkout {
         let Some(pool) = self.backends.get_mut(&backend).filter(|pool| pool.ready) else {
--- a/crates/gateway/tests/address_reuse.rs
+++ b/crates/gateway/tests/address_reuse.rs
@@ -107,3 +107,26 @@
     other.next().serve("fine");
     assert_eq!(client.read(), "fine");
 }
+
+/// A keyed request is repeated at the same backend over a connection from before: its process goes on.
+#[test]
+fn keyed_request_is_repeated_at_the_same_process() {
+    let rig = Rig::with_config(1, |_| {});
+    let mut clients = [rig.gateway.client(), rig.gateway.client()];
+    for (id, client) in (1..).zip(&mut clients) {
+        client.send(&as_strs(&request_args(id, "safe", "free", 1, 8000)));
+    }
+    let mut arrived = [rig.next_request().1, rig.next_request().1];
+    for (request, client) in arrived.iter_mut().zip(&mut clients) {
+        request.serve("fine");
+        assert_eq!(client.read(), "fine");
+    }
+    clients[0].send(&as_strs(&request_args(3, "keyed", "free", 1, 8000)));
+    let (_, first) = rig.next_request();
+    first.close();
+    let (_, mut second) = rig.next_request();
+    assert_ne!(second.connection, first.connection);
+    assert!(second.connection < 2, "a new connection");
+    second.serve("fine");
+    assert_eq!(clients[0].read(), "fine");
+}
--- a/crates/policy/src/interface/events.rs
+++ b/crates/policy/src/interface/events.rs
@@ -77,6 +77,14 @@
     },
     /// A request arrived.
     Request(Request),
+    /// The process that an attempt reached may have ended, and another one may have its address: the
+    /// connection was reset or refused, and none from before is left. Precedes the end of the attempt.
+    ProcessLost {
+        /// Identifier of the request.
+        id: u64,
+        /// Number of the attempt, from 0.
+        attempt: u32,
+    },
     /// An attempt ended.
     AttemptEnded {
         /// Identifier of the request.
--- a/crates/policy/src/policy/attempt_results.rs
+++ b/crates/policy/src/policy/attempt_results.rs
@@ -50,13 +50,20 @@
         }
     }
 
+    /// Records that the process which an attempt reached may have ended.
+    pub(super) fn process_lost(&mut self, id: u64, attempt: u32) {
+        let open = self.requests.get_mut(&id);
+        if let Some(attempt) = open.and_then(|open| open.attempts.get_mut(attempt as usize)) {
+            attempt.process_lost = true;
+        }
+    }
+
     /// Marks an attempt as ended. Returns `None` if it is not in flight.
     fn close_attempt(&mut self, result: &AttemptResult) -> Option<FinishedAttempt> {
         let open: &mut OpenRequest = self.requests.get_mut(&result.id)?;
         let attempt = open.attempts.get_mut(result.attempt as usize).filter(|attempt| attempt.pending)?;
         attempt.pending = false;
         attempt.may_have_run = !result.outcome.never_executed();
-        attempt.lost_connection = matches!(result.outcome, Outcome::Reset | Outcome::ConnectFailed);
         let attempt = attempt.clone();
         self.fleet.attempt_finished(attempt.sent_at, attempt.overdue);
         let request = open.request.clone();
--- a/crates/policy/src/policy/mod.rs
+++ b/crates/policy/src/policy/mod.rs
@@ -172,6 +172,7 @@
                 self.forget_if_removed(now, backend);
                 self.continue_request(now, id, answered, actions);
             }
+            Event::ProcessLost { id, attempt } => self.process_lost(id, attempt),
             Event::StreamStarted { id, attempt, backend } => {
                 self.stream_started(now, id, attempt, backend, actions);
             }
--- a/crates/policy/src/policy/repeat_safety.rs
+++ b/crates/policy/src/policy/repeat_safety.rs
@@ -49,15 +49,15 @@
 
     /// Returns whether a backend drops repeats of an attempt because it is in the same deduplication scope.
     ///
-    /// If the request has lost a connection to the backend, another process may have taken its address, which
-    /// the endpoint list may tell of seconds later. That process need not be in the scope.
+    /// If the process that the request reached there may have ended, another one may have its address, which
+    /// the endpoint list may tell of seconds later. That one need not be in the scope.
     fn deduplicates(&self, open: &OpenRequest, attempt: &Attempt, backend: &Backend) -> bool {
         let in_scope = match self.class_of(open).deduplication_scope {
             DeduplicationScope::All => return true,
             DeduplicationScope::Zone => attempt.zone == backend.entry.zone,
             DeduplicationScope::Cell => attempt.cell == backend.entry.cell,
         };
-        in_scope && !open.has_lost_connection_to(backend.entry.id)
+        in_scope && !open.has_lost_process_of(backend.entry.id)
     }
 
     /// Returns the time until which a repeat of a request may be written. A keyed request may be repeated
--- a/crates/policy/src/policy/request.rs
+++ b/crates/policy/src/policy/request.rs
@@ -32,9 +32,9 @@
         self.attempts.iter().filter(|attempt| attempt.may_have_run)
     }
 
-    /// Whether the process that an attempt reached at a backend may have ended since.
-    pub(crate) fn has_lost_connection_to(&self, backend: u32) -> bool {
-        self.attempts.iter().any(|attempt| attempt.backend == backend && attempt.lost_connection)
+    /// Whether the process that an attempt reached at a backend may have ended.
+    pub(crate) fn has_lost_process_of(&self, backend: u32) -> bool {
+        self.attempts.iter().any(|attempt| attempt.backend == backend && attempt.process_lost)
     }
 
     pub(crate) fn may_have_run(&self) -> bool {
@@ -65,8 +65,8 @@
     pub(crate) pending: bool,
     pub(crate) overdue: bool,
     pub(crate) may_have_run: bool,
-    /// Whether its connection was reset or refused: the process may have ended.
-    pub(crate) lost_connection: bool,
+    /// Whether the process that it reached may have ended.
+    pub(crate) process_lost: bool,
 }
 
 impl Attempt {
@@ -85,7 +85,7 @@
             in_flight_at_send,
             pending: true,
             overdue: false,
-            lost_connection: false,
+            process_lost: false,
             may_have_run: true,
         }
     }
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -46,14 +46,16 @@
     }
 }
 
-/// The process that a reset attempt reached may have ended, and another one may have its address: a repeat
-/// there could run twice.
+/// If the process that an attempt reached may have ended, another one may have its address: a repeat there
+/// could run twice.
 #[test]
-fn keyed_retry_avoids_backend_whose_connection_was_lost() {
+fn keyed_retry_avoids_backend_whose_process_was_lost() {
     let mut rig = Rig::new(settings(), 8);
     let first = sent_to(&rig.submit(request(1, 1, 3, 1.0))).expect("sent");
+    rig.handle(Event::ProcessLost { id: 1, attempt: 0 });
     let second = sent_to(&rig.end_attempt(1, 0, first, Outcome::Reset)).expect("retried");
     assert!(second != first && second / 2 == first / 2, "{first}, then {second}");
+    rig.handle(Event::ProcessLost { id: 1, attempt: 1 });
     let actions = rig.end_attempt(1, 1, second, Outcome::Reset);
     assert_eq!(sent_to(&actions), None, "no backend of the cell is left");
     assert!(is_failed(&actions));
@@ -80,10 +82,10 @@
     assert_eq!(write_deadline(&second), Some(None));
     let from = rig.now;
     rig.now += 100.0;
-    let third = rig.end_attempt(1, 1, sent_to(&second).expect("sent"), Outcome::Error);
+    let third = rig.end_attempt(1, 1, sent_to(&second).expect("sent"), Outcome::Reset);
     assert_eq!(write_deadline(&third), Some(Some(from + window)));
     rig.now += 100.0;
-    let fourth = rig.end_attempt(1, 2, sent_to(&third).expect("sent"), Outcome::Error);
+    let fourth = rig.end_attempt(1, 2, sent_to(&third).expect("sent"), Outcome::Reset);
     assert_eq!(write_deadline(&fourth), Some(Some(from + window)), "the earliest attempt counts");
     // Idempotent and non-idempotent classes have no deduplication window.
     for class in [0, 2] {
