--- a/crates/gateway/tests/memory_limit.rs
+++ b/crates/gateway/tests/memory_limit.rs
@@ -276,3 +276,40 @@
     assert!(peak < MEMORY_MB << 10, "{peak} kB");
     assert_eq!(answers.get("(end)"), None);
 }
+
+/// Number of rounds in which all kinds of slow peers come together.
+const ROUNDS: u64 = 3;
+
+/// Guards against memory that is kept between rounds, or that is within the limit only for each kind of slow
+/// peer alone: commands that stop, and values that are not read, of changing lengths.
+#[test]
+fn all_kinds_of_slow_peers_together_stay_within_limit() {
+    let mut rig = rig(4);
+    for round in 0..ROUNDS {
+        let length = MAX_VALUE - 9_000 * round as usize;
+        let stopped: Vec<TcpStream> = (0..CLIENTS / 3)
+            .map(|number| {
+                let mut client = connect(&rig);
+                let request = long_request(1 + round * CLIENTS + number, 0, length);
+                client.write_all(&request[..request.len() - 1]).expect("write to the gateway");
+                client
+            })
+            .collect();
+        let waiting: Vec<TcpStream> = (CLIENTS / 3..CLIENTS)
+            .map(|number| {
+                let mut client = connect(&rig);
+                let id = 1 + round * CLIENTS + number;
+                let request = command(&as_strs(&request_args(id, "unsafe", "free", 1, 8000)));
+                client.write_all(&request).expect("write to the gateway");
+                client
+            })
+            .collect();
+        serve_all(&rig, &"x".repeat(if round % 2 == 0 { length } else { 1 << 20 }));
+        let answers = read_answers(waiting);
+        println!("round {round}: {answers:?}, peak {} kB", rig.gateway.peak_memory_kb());
+        assert_eq!(answers.get("(end)"), None);
+        assert_eq!(answers.get("failed"), None);
+        drop(stopped);
+    }
+    assert_within_limit(&mut rig, &BTreeMap::new());
+}
