--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -1,8 +1,9 @@
 //! The memory budget: every buffer that a peer can make the gateway hold is covered by a permit of it.
 //!
-//! All permits come from one total. Requests may take a part of it only, so that answers to requests that
-//! have run always find memory. Commands that are still being received have a smaller part of their own, so
-//! that clients that stop in the middle of a long command leave memory for the requests of others.
+//! All permits come from one total. Requests may take a part of it only, and only what no answer waits for:
+//! answers to requests that have run come first. Commands that are still being received have a smaller part
+//! of their own, so that clients that stop in the middle of a long command leave memory for others'
+//! requests.
 
 use std::sync::Arc;
 use std::time::Duration;
