--- a/crates/dns-sd/src/cache.rs
+++ b/crates/dns-sd/src/cache.rs
@@ -345,6 +345,15 @@
         }
     }
 
+    /// Returns whether there is no usable answer to a question although there was time for one: the last one
+    /// is too old, or the queries fail.
+    #[must_use]
+    pub fn is_unanswered(&self, now_ms: f64, question: &Question) -> bool {
+        let Some(entry) = self.entries.get(question) else { return false };
+        let was_asked = entry.answer.is_some() || entry.failure.is_some();
+        was_asked && self.get(now_ms, question) == CacheState::Unknown
+    }
+
     /// Returns the number of answers received for a question; 0 if it is not followed.
     #[must_use]
     pub fn answer_count(&self, question: &Question) -> u64 {
--- a/crates/dns-sd/src/catalogue.rs
+++ b/crates/dns-sd/src/catalogue.rs
@@ -10,6 +10,7 @@
 use crate::cache::{Cache, CachedAnswer};
 use crate::drop_reason::{DropReason, DroppedInstance};
 use crate::instance::{add_instance_questions, instance_name, Endpoint, InstanceReader, Removal, Unlisted};
+use crate::listed_metadata::{withhold_unreadable, ListedMetadata};
 
 /// Maximum number of instances on the list; further ones are dropped. It bounds the memory that answers can
 /// make the process use.
@@ -104,8 +105,12 @@
             pass.read_service(service);
         }
         pass.find_unreferenced();
-        let Pass { mut update, present, removed, .. } = pass;
+        let Pass { mut update, mut present, removed, refreshed, .. } = pass;
         self.remove_instances(cache, removed, &mut update);
+        self.add_refreshed(refreshed, &mut present);
+        let mut metadata: Vec<&mut ListedMetadata> =
+            present.values_mut().map(|endpoint| &mut endpoint.metadata).collect();
+        withhold_unreadable(&mut metadata);
         self.add_or_update_instances(present, &mut update.changes);
         update
     }
@@ -143,6 +148,19 @@
         }
     }
 
+    /// Adds the instances that stay listed without a valid endpoint, with their current metadata.
+    fn add_refreshed(
+        &self,
+        refreshed: BTreeMap<String, ListedMetadata>,
+        present: &mut BTreeMap<String, Endpoint>,
+    ) {
+        for (name, metadata) in refreshed {
+            if let Some(listed) = self.listed.get(&name) {
+                present.insert(name, Endpoint { metadata, ..listed.endpoint.clone() });
+            }
+        }
+    }
+
     fn add_or_update_instances(&mut self, present: BTreeMap<String, Endpoint>, changes: &mut Vec<Change>) {
         for (name, endpoint) in present {
             let Some(listed) = self.listed.get_mut(&name) else {
@@ -178,6 +196,8 @@
     update: CatalogueUpdate,
     /// Instances with a valid endpoint.
     present: BTreeMap<String, Endpoint>,
+    /// Current metadata of listed instances without a valid endpoint.
+    refreshed: BTreeMap<String, ListedMetadata>,
     /// Instances to remove, each with the question whose answer is the reason.
     removed: BTreeMap<String, Question>,
     /// Names of instances that a service's PTR records reference. Those of an unknown service count as
@@ -193,6 +213,7 @@
             listed,
             update: CatalogueUpdate::default(),
             present: BTreeMap::new(),
+            refreshed: BTreeMap::new(),
             removed: BTreeMap::new(),
             referenced: BTreeSet::new(),
         }
@@ -222,6 +243,7 @@
         let instances = self.listed.values().map(|listed| &listed.endpoint.instance);
         for instance in instances.filter(|instance| instance.base_name() == *service) {
             if let Ok(name) = instance_name(instance) {
+                self.refresh_metadata(&name, instance);
                 self.referenced.insert(name);
             }
             add_instance_questions(instance, self.now_ms, self.cache, &mut self.update.followed);
@@ -235,14 +257,18 @@
         };
         add_instance_questions(instance, self.now_ms, self.cache, &mut self.update.followed);
         self.referenced.insert(name.clone());
-        let last_address = self.listed.get(&name).map(|listed| listed.endpoint.address);
+        let last = self.listed.get(&name).map(|listed| &listed.endpoint);
         let reader = InstanceReader { now_ms: self.now_ms, cache: self.cache, instance, stale_since_ms };
-        match reader.read(last_address) {
+        match reader.read(last) {
             Ok(endpoint) => {
                 self.present.insert(name, endpoint);
             }
-            Err(Unlisted::Pending) => self.update.pending_instances += 1,
+            Err(Unlisted::Pending) => {
+                self.update.pending_instances += 1;
+                self.refresh_metadata(&name, instance);
+            }
             Err(Unlisted::Removed(removal)) => {
+                self.refresh_metadata(&name, instance);
                 let Removal { question, reason } = *removal;
                 if let Some(reason) = reason {
                     self.drop_instance(instance, reason);
@@ -252,6 +278,16 @@
         }
     }
 
+    /// Reads the metadata of an instance that stays listed without a valid endpoint: its other records may
+    /// be unknown, or its removal may await confirmation.
+    fn refresh_metadata(&mut self, name: &str, instance: &Name) {
+        let Some(listed) = self.listed.get(name) else { return };
+        let (now_ms, cache) = (self.now_ms, self.cache);
+        let reader = InstanceReader { now_ms, cache, instance, stale_since_ms: None };
+        let metadata = reader.refreshed_metadata(&listed.endpoint.metadata);
+        self.refreshed.insert(name.to_string(), metadata);
+    }
+
     fn validate_name(&self, service: &Name, instance: &Name) -> Result<String, DropReason> {
         let name = instance_name(instance)?;
         if instance.base_name() != *service {
--- a/crates/dns-sd/src/drop_reason.rs
+++ b/crates/dns-sd/src/drop_reason.rs
@@ -5,7 +5,6 @@
 use hickory_proto::rr::Name;
 
 use crate::catalogue::MAX_INSTANCES;
-use crate::metadata::TxtError;
 
 /// Reason for which the records of an instance are not used.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -26,8 +25,6 @@
     TargetIsRoot,
     /// Its SRV port is 0.
     PortIsZero,
-    /// A value of its TXT record is invalid.
-    Txt(TxtError),
     /// Its SRV target has neither an A nor an AAAA record.
     NoAddress(Name),
 }
@@ -43,7 +40,6 @@
             DropReason::TooManyInstances => write!(f, "there are {MAX_INSTANCES} already"),
             DropReason::TargetIsRoot => f.write_str("its SRV target is the root: not available here"),
             DropReason::PortIsZero => f.write_str("its SRV port is 0"),
-            DropReason::Txt(error) => error.fmt(f),
             DropReason::NoAddress(target) => write!(f, "{target} has no address"),
         }
     }
--- a/crates/dns-sd/src/instance.rs
+++ b/crates/dns-sd/src/instance.rs
@@ -8,7 +8,8 @@
 use crate::answer::{QueryType, Question, RecordData, SrvRecord};
 use crate::cache::{Cache, CacheState, CachedAnswer};
 use crate::drop_reason::DropReason;
-use crate::metadata::InstanceMetadata;
+use crate::listed_metadata::ListedMetadata;
+use crate::metadata::{InstanceMetadata, UnknownValue};
 
 /// Maximum length of an instance name, bytes: that of a DNS label.
 const MAX_LABEL_BYTES: usize = 63;
@@ -22,10 +23,12 @@
     pub priority: u16,
     /// SRV weight among endpoints of the same priority; 0 means very little (RFC 2782).
     pub weight: u16,
-    /// Metadata from its TXT record.
-    pub metadata: InstanceMetadata,
+    /// Metadata from its TXT records.
+    pub metadata: ListedMetadata,
     /// Domain name of the instance.
     pub instance: Name,
+    /// When it was added to the list, ms.
+    pub listed_since_ms: f64,
     /// When the first of its records became stale, ms; `None` if all are fresh.
     pub stale_since_ms: Option<f64>,
 }
@@ -37,7 +40,7 @@
             && self.priority == other.priority
             && self.weight == other.weight
             && self.instance == other.instance
-            && self.metadata == other.metadata
+            && self.metadata.lists_the_same(&other.metadata)
     }
 }
 
@@ -108,19 +111,21 @@
 }
 
 impl InstanceReader<'_> {
-    /// Returns the endpoint. It keeps `last_address` as long as the target still has that address, so that
-    /// the backend stays the same.
-    pub(crate) fn read(mut self, last_address: Option<SocketAddr>) -> Result<Endpoint, Unlisted> {
+    /// Returns the endpoint. It keeps the address of `last`, the listed one, as long as the target still has
+    /// that address, so that the backend stays the same.
+    pub(crate) fn read(mut self, last: Option<&Endpoint>) -> Result<Endpoint, Unlisted> {
         let srv = self.srv()?;
-        let metadata = self.metadata()?;
-        let last_ip = last_address.filter(|last| last.port() == srv.port).map(|last| last.ip());
+        let metadata = self.metadata().ok_or(Unlisted::Pending)?;
+        let last_address = last.map(|last| last.address).filter(|last| last.port() == srv.port);
+        let last_ip = last_address.map(|last| last.ip());
         let ip = self.select_address(&srv.target, last_ip)?;
         Ok(Endpoint {
             address: SocketAddr::new(ip, srv.port),
             priority: srv.priority,
             weight: srv.weight,
-            metadata,
+            metadata: ListedMetadata::new(metadata, last.map(|last| &last.metadata)),
             instance: self.instance.clone(),
+            listed_since_ms: last.map_or(self.now_ms, |last| last.listed_since_ms),
             stale_since_ms: self.stale_since_ms,
         })
     }
@@ -155,16 +160,33 @@
         Ok(srv)
     }
 
-    fn metadata(&mut self) -> Result<InstanceMetadata, Unlisted> {
+    /// Returns what the TXT records state; `None` if the records are unknown.
+    fn metadata(&mut self) -> Option<InstanceMetadata> {
         let question = Question { name: self.instance.clone(), kind: QueryType::Txt };
         let state = self.state(&question);
         self.track_staleness(&state);
-        let Some(answer) = state.answer() else { return Err(Unlisted::Pending) };
-        let CachedAnswer::Records(records) = answer else { return Ok(InstanceMetadata::default()) };
-        // If there are several TXT records, the first in sort order is used, so that all agents agree.
-        let Some(RecordData::Txt(strings)) = records.first() else { return Ok(InstanceMetadata::default()) };
-        InstanceMetadata::read(strings)
-            .map_err(|error| Unlisted::removed(question, Some(DropReason::Txt(error))))
+        let records: &[RecordData] = match state.answer()? {
+            CachedAnswer::Negative(_) => &[],
+            CachedAnswer::Records(records) => records,
+        };
+        Some(InstanceMetadata::read_all(records.iter().filter_map(|data| match data {
+            RecordData::Txt(strings) => Some(strings.as_slice()),
+            _ => None,
+        })))
+    }
+
+    /// Returns the metadata of an instance that stays listed although other records of it are unknown or
+    /// would remove it.
+    pub(crate) fn refreshed_metadata(mut self, last: &ListedMetadata) -> ListedMetadata {
+        let question = Question { name: self.instance.clone(), kind: QueryType::Txt };
+        match self.metadata() {
+            Some(metadata) => ListedMetadata::new(metadata, Some(last)),
+            None if self.cache.is_unanswered(self.now_ms, &question) => {
+                ListedMetadata::new(InstanceMetadata::unknown(UnknownValue::Unanswered), Some(last))
+            }
+            // The question has just been asked.
+            None => last.clone(),
+        }
     }
 
     fn select_address(&mut self, target: &Name, last_ip: Option<IpAddr>) -> Result<IpAddr, Unlisted> {
--- a/crates/dns-sd/src/lib.rs
+++ b/crates/dns-sd/src/lib.rs
@@ -5,6 +5,7 @@
 //! - `catalogue`: the list of instances that PTR records name, and when an instance is removed from it
 //! - `instance`: the endpoint of an instance, from its SRV, TXT, A and AAAA records
 //! - `metadata`: the keys of TXT records
+//! - `listed_metadata`: what is listed where a record does not state a value
 //!
 //! An instance is removed from the list only because of an authoritative answer: NXDOMAIN, NODATA, or records
 //! that do not include it. A resolver that times out, refuses, fails or sends malformed messages only makes
@@ -15,6 +16,7 @@
 mod catalogue;
 mod drop_reason;
 mod instance;
+mod listed_metadata;
 mod metadata;
 
 pub use answer::{
@@ -28,4 +30,5 @@
 pub use drop_reason::{DropReason, DroppedInstance};
 pub use hickory_proto::rr::Name;
 pub use instance::Endpoint;
-pub use metadata::{InstanceMetadata, Status, TxtError};
+pub use listed_metadata::ListedMetadata;
+pub use metadata::{InstanceMetadata, Status, TxtError, TxtKey, TxtValue, UnknownValue};
--- a/crates/dns-sd/tests/support/mod.rs
+++ b/crates/dns-sd/tests/support/mod.rs
@@ -32,6 +32,8 @@
     pub now: f64,
     /// Failure reason of all queries while set.
     pub resolver_error: Option<&'static str>,
+    /// Types whose queries fail.
+    pub failing_kinds: Vec<QueryType>,
     pub queries: u64,
     pub confirmation_queries: u64,
 }
@@ -45,6 +47,7 @@
             ttl_s: 60,
             now: 0.0,
             resolver_error: None,
+            failing_kinds: Vec::new(),
             queries: 0,
             confirmation_queries: 0,
         }
@@ -95,6 +98,10 @@
                     self.cache.record_failure(self.now, &due.question, reason);
                     continue;
                 }
+                if self.failing_kinds.contains(&due.question.kind) {
+                    self.cache.record_failure(self.now, &due.question, "no answer in time");
+                    continue;
+                }
                 let records = self.zone.get(&due.question).cloned().unwrap_or_default();
                 let ttl_s = self.ttl_s;
                 let answer = if records.is_empty() {
--- a/crates/dns-sd/tests/texts.rs
+++ b/crates/dns-sd/tests/texts.rs
@@ -68,4 +68,11 @@
         reasons.into_iter().map(|(instance, reason)| format!("{instance} {reason}")).collect();
     let expected = include_str!("data/left-out.txt");
     assert_eq!(reasons.join("\n"), expected.trim_end());
+    let (_, invalid) = harness.catalogue.list().find(|(name, _)| *name == "t5").expect("listed");
+    let unknown: Vec<String> = invalid.metadata.unknown.values().map(ToString::to_string).collect();
+    let missing = "missing";
+    assert_eq!(
+        unknown,
+        [missing, missing, "TXT group: a whole number below 2^32 is wanted", missing, missing]
+    );
 }
--- a/crates/endpoint-sources/src/follow.rs
+++ b/crates/endpoint-sources/src/follow.rs
@@ -2,19 +2,21 @@
 
 use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use dns_sd::{
     Cache, CacheLimits, CacheState, CachedAnswer, Catalogue, DroppedInstance, Endpoint, FailingQuery,
-    FollowedQuery, Name, Question, Status,
+    FollowedQuery, Name, Question,
 };
-use fleet::wire::{DroppedEndpoint, EndpointListStatus, EndpointStatus, RecordStatus, UnansweredQuery};
+use fleet::wire::{EndpointListStatus, EndpointStatus, RecordStatus, UnansweredQuery};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinSet;
 use tokio::time::{sleep_until, Instant};
 
+use crate::entries::{dropped_endpoint, endpoint_status, listed_endpoint};
 use crate::resolver::{QueryAnswer, QueryFailure, Resolver};
-use crate::table::{EndpointTable, ListedEndpoint, ListedStatus};
+use crate::table::{EndpointTable, ListedEndpoint};
+use crate::unknown_values::UnknownValueLog;
 
 /// Minimum time between two updates of the list. Thousands of answers may arrive at once, and each update
 /// reads all of them.
@@ -75,14 +77,17 @@
     cache: Cache,
     catalogue: Catalogue,
     started: Instant,
+    /// Unix time of `started`, ms.
+    started_unix_ms: f64,
     queries_sent: u64,
     queries: JoinSet<EndedQuery>,
     /// When the list is updated next.
     next_update: Instant,
     /// Duration of the last update.
     update_cost: Duration,
-    /// Whether the list is known, so that it may be served.
-    is_known: bool,
+    /// Since when the list is known, so that it may be served, ms; `None` if it is not.
+    known_since_ms: Option<f64>,
+    unknown_values: UnknownValueLog,
     /// Number of failing queries at the last update.
     failing: usize,
     /// Number of instances that awaited confirmation at the last update.
@@ -101,11 +106,13 @@
             catalogue: Catalogue::new(settings.services, settings.max_shrink),
             resolver: Arc::new(resolver),
             started: Instant::now(),
+            started_unix_ms: millis(SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()),
             queries_sent: 0,
             queries: JoinSet::new(),
             next_update: Instant::now(),
             update_cost: Duration::ZERO,
-            is_known: false,
+            known_since_ms: None,
+            unknown_values: UnknownValueLog::default(),
             failing: 0,
             awaiting_confirmation: 0,
             dropped: Vec::new(),
@@ -164,7 +171,7 @@
                 false
             }
         };
-        if changed || self.awaiting_confirmation > 0 || !self.is_known {
+        if changed || self.awaiting_confirmation > 0 || !self.is_known() {
             let soon = Instant::now() + MIN_UPDATE_INTERVAL.max(self.update_cost * UPDATE_COST_FACTOR);
             self.next_update = self.next_update.min(soon);
         }
@@ -185,19 +192,43 @@
         self.report_awaiting_confirmation(update.awaiting_confirmation, log);
         self.dropped = update.dropped;
         self.unknowns = Unknowns { instances: update.pending_instances, services: update.unknown_services };
-        if !self.is_known && self.may_be_served(now_ms) {
-            self.is_known = true;
+        self.unknown_values.update(self.catalogue.list(), log);
+        if !self.is_known() && self.may_be_served(now_ms) {
+            self.known_since_ms = Some(now_ms);
             log(format!("the list is known: {} instances", self.catalogue.list().count()));
         }
         self.update_cost = start.elapsed();
         self.next_update = Instant::now() + UPDATE_INTERVAL.max(self.update_cost * UPDATE_COST_FACTOR);
-        self.is_known.then(|| self.catalogue.list().map(to_listed).collect())
+        self.is_known().then(|| self.listed_endpoints())
+    }
+
+    fn is_known(&self) -> bool {
+        self.known_since_ms.is_some()
+    }
+
+    fn listed_endpoints(&self) -> BTreeMap<String, ListedEndpoint> {
+        let listed = |(name, endpoint): (&str, &Endpoint)| {
+            (name.to_string(), listed_endpoint(name, endpoint, self.start_time_ms(endpoint)))
+        };
+        self.catalogue.list().map(listed).collect()
+    }
+
+    /// Returns the start time of an instance, Unix time in ms; 0 for long ago. An instance of unknown start
+    /// time that joins a known list may have started just now; one of the first list is taken for older, as
+    /// all of them together could not serve the load while they warm up.
+    fn start_time_ms(&self, endpoint: &Endpoint) -> f64 {
+        let joined_later = self.known_since_ms.is_some_and(|known| endpoint.listed_since_ms > known);
+        match endpoint.metadata.since_ms {
+            Some(since_ms) => since_ms,
+            None if joined_later => (self.started_unix_ms + endpoint.listed_since_ms).floor(),
+            None => 0.0,
+        }
     }
 
     /// Returns whether the list is complete. Instances with unknown records delay it for at most
-    /// [`MAX_FIRST_WAIT`].
+    /// [`MAX_FIRST_WAIT`], but an empty list until one of them is known: gateways would remove all backends.
     fn may_be_served(&self, now_ms: f64) -> bool {
-        let waited_enough = now_ms > millis(MAX_FIRST_WAIT);
+        let waited_enough = now_ms > millis(MAX_FIRST_WAIT) && self.catalogue.list().next().is_some();
         self.unknowns.services == 0 && (self.unknowns.instances == 0 || waited_enough)
     }
 
@@ -236,18 +267,25 @@
         let max_records = if include_records { MAX_REPORTED_RECORDS } else { 0 };
         let followed = self.cache.followed_queries(now_ms).take(max_records);
         EndpointListStatus {
-            list: self.catalogue.list().map(|(name, e)| endpoint_status(now_ms, name, e)).collect(),
+            list: self.endpoint_statuses(now_ms),
             dropped: self.dropped.iter().take(MAX_REPORTED_DROPPED).map(dropped_endpoint).collect(),
             unanswered: self.unanswered(now_ms),
             awaiting_confirmation: self.awaiting_confirmation,
             pending: self.unknowns.instances,
             unknown: self.unknowns.services,
             queries_sent: self.queries_sent,
-            known: self.is_known,
+            known: self.is_known(),
             records: followed.map(|followed| self.record_status(now_ms, followed)).collect(),
         }
     }
 
+    fn endpoint_statuses(&self, now_ms: f64) -> Vec<EndpointStatus> {
+        let status = |(name, endpoint): (&str, &Endpoint)| {
+            endpoint_status(now_ms, name, endpoint, self.start_time_ms(endpoint))
+        };
+        self.catalogue.list().map(status).collect()
+    }
+
     /// Returns the failing queries, those that have been failing longest first.
     fn unanswered(&self, now_ms: f64) -> Vec<UnansweredQuery> {
         let unanswered = |failing: FailingQuery<'_>| UnansweredQuery {
@@ -292,45 +330,6 @@
     duration.as_secs_f64() * 1_000.0
 }
 
-fn dropped_endpoint(dropped: &DroppedInstance) -> DroppedEndpoint {
-    DroppedEndpoint { instance: dropped.instance.to_utf8(), reason: dropped.reason.to_string() }
-}
-
-fn endpoint_status(now_ms: f64, name: &str, endpoint: &Endpoint) -> EndpointStatus {
-    let metadata = &endpoint.metadata;
-    EndpointStatus {
-        name: name.to_string(),
-        address: endpoint.address.to_string(),
-        priority: endpoint.priority,
-        weight: endpoint.weight,
-        zone: metadata.zone.clone(),
-        kind: metadata.instance_type.clone(),
-        group: metadata.group,
-        serving: metadata.status == Status::Serving,
-        since_ms: metadata.since_ms,
-        stale_ms: endpoint.stale_since_ms.map(|since_ms| now_ms - since_ms),
-    }
-}
-
-fn to_listed((name, endpoint): (&str, &Endpoint)) -> (String, ListedEndpoint) {
-    let metadata = &endpoint.metadata;
-    let listed = ListedEndpoint {
-        name: name.to_string(),
-        address: endpoint.address,
-        zone: metadata.zone.clone(),
-        instance_type: metadata.instance_type.clone(),
-        group: metadata.group,
-        status: match metadata.status {
-            Status::Serving => ListedStatus::Serving,
-            Status::Draining => ListedStatus::Draining,
-        },
-        weight: f64::from(endpoint.weight),
-        priority: endpoint.priority,
-        since_ms: metadata.since_ms,
-    };
-    (name.to_string(), listed)
-}
-
 /// Follows a source, keeps the table up to date and responds to status requests. It runs until it is
 /// cancelled; the table then keeps its last list.
 pub async fn follow(
--- a/crates/endpoint-sources/src/lib.rs
+++ b/crates/endpoint-sources/src/lib.rs
@@ -2,6 +2,8 @@
 //!
 //! - `resolver`: DNS queries over UDP and TCP to several resolvers
 //! - `follow`: keeps a `dns_sd` cache and catalogue up to date
+//! - `entries`: entries on the list and in the status
+//! - `unknown_values`: the log of values that records do not state
 //! - `table`: the versioned list
 //! - `serve`: `GET /discovery/hosts`, which gateways poll for the list
 //!
@@ -9,10 +11,12 @@
 //! served until all services are known, so that an unknown list is never mistaken for an empty one; gateways
 //! keep their cached list until then.
 
+mod entries;
 mod follow;
 mod resolver;
 mod serve;
 mod table;
+mod unknown_values;
 
 pub use follow::{follow, Follower, Settings, StatusRequest};
 pub use resolver::{AttemptError, FailedAttempt, QueryAnswer, QueryFailure, Resolver};
--- a/crates/endpoint-sources/src/table.rs
+++ b/crates/endpoint-sources/src/table.rs
@@ -46,6 +46,10 @@
     pub priority: u16,
     /// Start time of the instance, Unix time in ms; 0 means long ago.
     pub since_ms: f64,
+    /// Names of the fields whose current values are unknown: they have the last known or a default value, by
+    /// which nothing may be permitted. Gateway versions without support for it ignore it.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub unknown: Vec<&'static str>,
 }
 
 /// A response of the discovery protocol.
--- a/crates/endpoint-sources/src/table/tests.rs
+++ b/crates/endpoint-sources/src/table/tests.rs
@@ -13,6 +13,7 @@
         weight: 1.0,
         priority: 0,
         since_ms: 0.0,
+        unknown: Vec::new(),
     };
     (name.to_string(), endpoint)
 }
--- a/crates/endpoint-sources/tests/recorded.rs
+++ b/crates/endpoint-sources/tests/recorded.rs
@@ -41,6 +41,7 @@
         weight: 1.0,
         priority: 0,
         since_ms: 0.0,
+        unknown: Vec::new(),
     }
 }
 
--- a/crates/endpoint-sources/tests/source.rs
+++ b/crates/endpoint-sources/tests/source.rs
@@ -196,6 +196,77 @@
     assert_eq!(status.records.len(), 1 + 4 * 4);
 }
 
+/// Guards against unknown values that gateways take for known ones, and against a log line at each update.
+#[tokio::test]
+async fn unknown_values_are_marked_and_logged_once() {
+    let dns = zone(4).await;
+    let complete =
+        ["zone=room", "type=m", "group=4", "status=serving", "since=7"].map(str::to_string).to_vec();
+    let set_texts = |records: &[Vec<String>]| {
+        (0..4).for_each(|i| dns.set_text(SERVICE, &format!("t{i}"), records));
+    };
+    set_texts(std::slice::from_ref(&complete));
+    let mut source = Source::start(&[&dns], &[SERVICE]).await;
+    let all = |table: &EndpointTable, holds: &dyn Fn(&[&str], u32, f64) -> bool| {
+        let endpoints = table.updates_after(None).endpoints;
+        endpoints.len() == 4 && endpoints.iter().all(|e| holds(&e.unknown, e.group, e.since_ms))
+    };
+    source.until("complete entries", |t| all(t, &|unknown, _, _| unknown.is_empty())).await;
+    let complete_entry = source.get("/discovery/hosts").await.1["endpoints"][0].clone();
+    assert!(complete_entry.get("unknown").is_none(), "{complete_entry}");
+    set_texts(&[]);
+    let keys = ["zone", "type", "group", "status", "since"];
+    source
+        .until("marked entries", |t| {
+            all(t, &|unknown, group, since_ms| unknown == keys && (group, since_ms) == (4, 7.0))
+        })
+        .await;
+    // Several updates of the list.
+    sleep(Duration::from_millis(2_500)).await;
+    let count = |source: &Source, text: &str| {
+        source.lines.lock().expect("not poisoned").iter().filter(|line| line.contains(text)).count()
+    };
+    for key in keys {
+        let lines =
+            (1..=4).map(|n| count(&source, &format!("{key} unknown of {n} instances: t"))).sum::<usize>();
+        assert!((1..=4).contains(&lines), "{key}: {lines} lines: {:?}", source.lines);
+    }
+    let named: usize = (0..4).map(|i| count(&source, &format!("~ t{i}"))).sum();
+    assert_eq!(named, 4, "one change each: {:?}", source.lines);
+    // An instance of unknown start that joins the known list may be cold.
+    dns.put_instance(SERVICE, &Instance { text: Vec::new(), ..instance(8) });
+    let is_now = |since_ms: f64| since_ms > 1.7e12;
+    source
+        .until("a new instance", |t| {
+            t.updates_after(None).endpoints.iter().any(|e| e.name == "t8" && is_now(e.since_ms))
+        })
+        .await;
+    let (response, status) = oneshot::channel();
+    let request = StatusRequest { include_records: false, response };
+    source.status_requests.send(request).await.expect("a running follower");
+    let status = status.await.expect("a status");
+    let t8 = status.list.iter().find(|e| e.name == "t8").expect("listed");
+    assert!(is_now(t8.since_ms) && t8.unknown.iter().all(|u| u.reason == "missing"), "{t8:?}");
+    set_texts(std::slice::from_ref(&complete));
+    dns.set_text(SERVICE, "t8", &[vec!["group=1".to_string()]]);
+    source.until_logged("group is known of all instances again").await;
+}
+
+/// Guards against an empty list that removes all backends when an agent starts while no TXT query is
+/// answered.
+#[tokio::test]
+async fn list_is_not_served_empty_while_its_instances_are_unknown() {
+    let dns = zone(2).await;
+    dns.set_answer_fault(AnswerFault::NoTextAnswer);
+    let mut source = Source::start(&[&dns], &[SERVICE]).await;
+    source.until_logged("ALARM").await;
+    // Longer than the wait for the first list.
+    sleep(Duration::from_millis(10_500)).await;
+    assert_eq!(source.get("/discovery/hosts").await.0, 503);
+    dns.set_answer_fault(AnswerFault::None);
+    source.until("the list", |t| t.updates_after(None).endpoints.len() == 2).await;
+}
+
 #[tokio::test]
 async fn empty_zone_of_one_resolver_removes_nothing() {
     let (outdated, healthy) = (zone(4).await, zone(4).await);
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -19,7 +19,9 @@
 
 use serde::{Deserialize, Serialize};
 
-pub use endpoint_list::{DroppedEndpoint, EndpointListStatus, EndpointStatus, RecordStatus, UnansweredQuery};
+pub use endpoint_list::{
+    DroppedEndpoint, EndpointListStatus, EndpointStatus, RecordStatus, UnansweredQuery, UnknownField,
+};
 pub use error::{ErrorCode, ErrorResponse};
 pub use gateway::{Applied, GatewayRequest, GatewayResponse, OrderResult};
 pub use gateway_state::{BackendState, GatewayState, GatewayStatistics};
--- a/crates/fleet/src/wire/endpoint_list.rs
+++ b/crates/fleet/src/wire/endpoint_list.rs
@@ -54,6 +54,19 @@
     pub since_ms: f64,
     /// Time for which one of its records has been stale, ms; `None` while all are fresh.
     pub stale_ms: Option<f64>,
+    /// Values that its records do not state; the last known or a default value is listed for each.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub unknown: Vec<UnknownField>,
+}
+
+/// A value that the records of an endpoint do not state.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UnknownField {
+    /// TXT key.
+    pub key: String,
+    /// Why the value is unknown.
+    #[serde(rename = "why")]
+    pub reason: String,
 }
 
 /// An instance that is left out of the list.
--- a/crates/gateway/src/backend_table.rs
+++ b/crates/gateway/src/backend_table.rs
@@ -89,7 +89,7 @@
         self.changes += 1;
         match self.rows.get_mut(&name) {
             Some(row) => {
-                row.endpoint = endpoint;
+                row.endpoint = endpoint.with_last_known(&row.endpoint);
                 row.update_overrides(overrides);
             }
             None if matches!(endpoint.status, Status::Deleted) => return None,
@@ -104,6 +104,14 @@
         self.rows.get(&name).map(|row| self.policy_endpoint(row, zones))
     }
 
+    /// Records that the latest entry of a backend was unreadable: the backend keeps its state, but the entry
+    /// may have changed its cell and zone.
+    pub fn mark_unreadable(&mut self, name: &str) {
+        if let Some(row) = self.rows.get_mut(name) {
+            (row.endpoint.unknown.group, row.endpoint.unknown.zone) = (true, true);
+        }
+    }
+
     /// Returns the policy's endpoint of a backend, with its address.
     pub fn policy_endpoint_named(
         &self,
@@ -183,7 +191,8 @@
     /// all orders.
     fn policy_endpoint(&self, row: &BackendRow, zones: &[String]) -> BackendEndpoint {
         let endpoint = &row.endpoint;
-        let zone = zones.iter().position(|z| *z == endpoint.zone);
+        // A zone that the settings do not name is as unknown as a missing one.
+        let zone = zones.iter().position(|z| *z == endpoint.zone).filter(|_| !endpoint.unknown.zone);
         let state = match EndpointState::from(endpoint.status) {
             EndpointState::Ready if row.effect.drained_by.is_some() || row.banned_ms.is_some() => {
                 EndpointState::Draining
@@ -193,8 +202,8 @@
         BackendEndpoint {
             id: row.number,
             state,
-            cell: endpoint.group,
-            zone: zone.map_or(u32::MAX, |z| z as u32),
+            cell: (!endpoint.unknown.group).then_some(endpoint.group),
+            zone: zone.map(|index| index as u32),
             // Hashed from the name, which is the same for all gateways; numbers are local to this one.
             key: fnv1a(&endpoint.name),
             instance_type: fnv1a(&endpoint.instance_type) as u32,
--- a/crates/gateway/src/endpoint_list.rs
+++ b/crates/gateway/src/endpoint_list.rs
@@ -11,9 +11,11 @@
 use std::net::SocketAddr;
 
 use gateway_policy::interface::EndpointState;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 use serde_json::value::RawValue;
 
+use crate::unknown_fields::UnknownFields;
+
 /// The endpoint list, or a delta of it.
 #[derive(Clone, Debug)]
 pub struct EndpointList {
@@ -29,22 +31,100 @@
 
 /// A backend's entry on the list.
 #[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(from = "RawEndpoint")]
 pub struct Endpoint {
     pub name: String,
     pub address: SocketAddr,
     pub zone: String,
     /// Instance type, which orders may refer to.
-    #[serde(default, rename = "type")]
+    #[serde(rename = "type")]
     pub instance_type: String,
     /// Cell of the backend.
     pub group: u32,
     pub status: Status,
     /// Size relative to the other backends; 0 if unknown.
-    #[serde(default)]
     pub weight: f64,
     /// Start of the backend, Unix time in ms; 0 if discovery does not report it.
-    #[serde(default)]
     pub since_ms: f64,
+    /// Fields whose values are not known: the last known or a default value stands for each.
+    #[serde(skip_serializing_if = "UnknownFields::is_empty")]
+    pub unknown: UnknownFields,
+    /// Whether it was draining when its status was last known.
+    #[serde(skip)]
+    last_known_draining: bool,
+}
+
+impl Endpoint {
+    /// Replaces unknown values by those of the previous entry, so that the restrictions that follow from them
+    /// stay in force: a drain, an order on the cell or instance type, and a warm-up.
+    #[must_use]
+    pub fn with_last_known(mut self, previous: &Endpoint) -> Endpoint {
+        if self.unknown.zone {
+            self.zone.clone_from(&previous.zone);
+        }
+        if self.unknown.instance_type {
+            self.instance_type.clone_from(&previous.instance_type);
+        }
+        if self.unknown.group {
+            self.group = previous.group;
+        }
+        if self.unknown.since {
+            self.since_ms = self.since_ms.max(previous.since_ms);
+        }
+        if self.unknown.status {
+            self.last_known_draining = previous.last_known_draining;
+            if self.last_known_draining && matches!(self.status, Status::Serving) {
+                self.status = Status::Draining;
+            }
+        }
+        self
+    }
+}
+
+/// An entry as received. The instance type and the start time are unknown if they are missing.
+#[derive(Deserialize)]
+#[serde(rename = "Endpoint", expecting = "struct Endpoint")]
+struct RawEndpoint {
+    name: String,
+    address: SocketAddr,
+    zone: String,
+    #[serde(default, rename = "type", deserialize_with = "present")]
+    instance_type: Option<String>,
+    group: u32,
+    status: Status,
+    #[serde(default)]
+    weight: f64,
+    #[serde(default, deserialize_with = "present")]
+    since_ms: Option<f64>,
+    #[serde(default)]
+    unknown: UnknownFields,
+}
+
+/// Deserializes a field that may be missing, but not null.
+fn present<'de, T: Deserialize<'de>, D: Deserializer<'de>>(deserializer: D) -> Result<Option<T>, D::Error> {
+    T::deserialize(deserializer).map(Some)
+}
+
+impl From<RawEndpoint> for Endpoint {
+    fn from(raw: RawEndpoint) -> Self {
+        let unknown = UnknownFields {
+            instance_type: raw.unknown.instance_type || raw.instance_type.is_none(),
+            since: raw.unknown.since || raw.since_ms.is_none(),
+            ..raw.unknown
+        };
+        Endpoint {
+            name: raw.name,
+            address: raw.address,
+            zone: raw.zone,
+            instance_type: raw.instance_type.unwrap_or_default(),
+            group: raw.group,
+            status: raw.status,
+            weight: raw.weight,
+            since_ms: raw.since_ms.unwrap_or_default(),
+            unknown,
+            last_known_draining: !unknown.status && matches!(raw.status, Status::Draining),
+        }
+    }
 }
 
 /// State of a backend as reported by discovery.
@@ -151,10 +231,14 @@
             }
         }
         let last: HashMap<String, usize> = parsed.iter().map(|(at, e)| (e.name.clone(), *at)).collect();
+        let contradicted = contradicted_names(&parsed, &rejected);
         let mut endpoints = Vec::with_capacity(last.len());
-        for (index, endpoint) in parsed {
+        for (index, mut endpoint) in parsed {
             let kept = last[&endpoint.name];
             if kept == index {
+                if contradicted.contains(&endpoint.name) {
+                    (endpoint.unknown.group, endpoint.unknown.zone) = (true, true);
+                }
                 endpoints.push(endpoint);
             } else {
                 let problem = EndpointProblem::DuplicateName(kept);
@@ -180,6 +264,20 @@
     }
 }
 
+/// Returns the names with several entries that differ in their cell or zone, or with an unreadable entry.
+fn contradicted_names(parsed: &[(usize, Endpoint)], unreadable: &[RejectedEndpoint]) -> HashSet<String> {
+    let mut first: HashMap<&str, &Endpoint> = HashMap::with_capacity(parsed.len());
+    let mut contradicted: HashSet<String> =
+        unreadable.iter().filter_map(|endpoint| endpoint.name.clone()).collect();
+    for (_, endpoint) in parsed {
+        let known = *first.entry(&endpoint.name).or_insert(endpoint);
+        if (known.group, &known.zone) != (endpoint.group, &endpoint.zone) {
+            contradicted.insert(endpoint.name.clone());
+        }
+    }
+    contradicted
+}
+
 fn parse_endpoint(text: &str) -> Result<Endpoint, EndpointProblem> {
     let endpoint: Endpoint = serde_json::from_str(text).map_err(|e| {
         // The position within the entry is of no use in a log.
--- a/crates/gateway/src/endpoint_list/tests.rs
+++ b/crates/gateway/src/endpoint_list/tests.rs
@@ -51,6 +51,41 @@
     assert!(list.unreadable_names().is_empty());
 }
 
+/// Guards against a cell or zone from one of several entries of a backend that contradict each other.
+#[test]
+fn contradicting_entries_of_a_name_leave_its_cell_and_zone_unknown() {
+    let unknown = |entries: &[Value]| {
+        let list = parse(entries);
+        let endpoint = list.endpoints.iter().find(|endpoint| endpoint.name == "a").expect("listed");
+        (endpoint.unknown.group, endpoint.unknown.zone)
+    };
+    let (mut other_cell, mut other_zone, mut unreadable) = (entry("a", 1), entry("a", 1), entry("a", 1));
+    other_cell["group"] = 2.into();
+    other_zone["zone"] = "y".into();
+    unreadable["group"] = "first".into();
+    assert_eq!(unknown(&[entry("a", 1), entry("a", 2), entry("b", 3)]), (false, false));
+    for other in [other_cell, other_zone, unreadable] {
+        assert_eq!(unknown(&[other.clone(), entry("a", 1)]), (true, true), "{other}");
+        assert_eq!(unknown(&[entry("a", 1), other.clone()]), (true, true), "{other}");
+    }
+}
+
+/// The marks of unknown fields survive a list that a gateway passes on; entries without marks have no new
+/// key.
+#[test]
+fn unknown_fields_are_passed_on() {
+    let mut marked = entry("a", 1);
+    marked["unknown"] = json!(["group", "since"]);
+    let complete = json!({"name": "b", "address": "127.0.0.1:2", "zone": "z", "type": "m", "group": 1,
+                          "status": "SERVING", "weight": 1.0, "since_ms": 0.0});
+    let list = parse(&[marked, complete.clone()]);
+    let text = EndpointList::encode_snapshot(7, &list.endpoints);
+    let sent: Value = serde_json::from_str(&text).expect("JSON");
+    // The first entry has no `type` either.
+    assert_eq!(sent["endpoints"][0]["unknown"], json!(["type", "group", "since"]));
+    assert_eq!(sent["endpoints"][1], complete);
+}
+
 #[test]
 fn parses_ten_thousand_entries_and_rejects_a_truncated_list() {
     let entries: Vec<Value> = (0..10_000).map(|n| entry(&format!("backend-{n}"), 80)).collect();
--- a/crates/gateway/src/event_loop/endpoints.rs
+++ b/crates/gateway/src/event_loop/endpoints.rs
@@ -12,7 +12,7 @@
 
 impl EventLoop {
     /// Applies an update from discovery. Backends named in `unreadable` had an invalid entry and keep their
-    /// previous state.
+    /// previous state, except for their cell and zone, which are unknown.
     pub(super) fn update_endpoints(
         &mut self,
         scope: UpdateScope,
@@ -39,6 +39,9 @@
             }
             updates.push((entry, address));
         }
+        for name in unreadable {
+            self.table.mark_unreadable(name);
+        }
         updates.extend(
             unreadable.iter().filter_map(|name| self.table.policy_endpoint_named(name, &self.names.zones)),
         );
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod sent_requests;
 mod server;
 mod streaming;
+mod unknown_fields;
 mod upstream;
 
 use std::path::{Path, PathBuf};
--- a/crates/gatewayctl/src/endpoint_list.rs
+++ b/crates/gatewayctl/src/endpoint_list.rs
@@ -1,5 +1,7 @@
 //! `sources` and `resolve`: the endpoint list from DNS-SD, as the agent holds it or as it would build it.
 
+use std::collections::BTreeMap;
+
 use dns_sd::CacheLimits;
 use endpoint_sources::{Follower, Resolver, Settings};
 use fleet::wire::{
@@ -15,6 +17,7 @@
 
 const ENDPOINT_HEADER: [&str; 9] =
     ["NAME", "ADDRESS", "PRIORITY", "WEIGHT", "ZONE", "TYPE", "GROUP", "STATUS", "STALE"];
+const UNKNOWN_HEADER: [&str; 3] = ["NAME", "UNKNOWN", "WHY"];
 const DROPPED_HEADER: [&str; 2] = ["DROPPED", "WHY"];
 const UNANSWERED_HEADER: [&str; 3] = ["UNANSWERED", "FOR", "WHY"];
 const RECORD_HEADER: [&str; 3] = ["QUESTION", "RECORDS", "LIFE"];
@@ -75,6 +78,7 @@
 
 fn print_tables(status: &EndpointListStatus) {
     print_table(&ENDPOINT_HEADER, &status.list.iter().map(endpoint_row).collect::<Vec<_>>());
+    print_section(&UNKNOWN_HEADER, &status.list.iter().flat_map(unknown_rows).collect::<Vec<_>>());
     let dropped = status.dropped.iter().map(|dropped| vec![dropped.instance.clone(), dropped.reason.clone()]);
     print_section(&DROPPED_HEADER, &dropped.collect::<Vec<_>>());
     print_section(&UNANSWERED_HEADER, &status.unanswered.iter().map(unanswered_row).collect::<Vec<_>>());
@@ -120,6 +124,17 @@
     ]
 }
 
+/// Returns a row for each reason for which values of an endpoint are unknown.
+fn unknown_rows(endpoint: &EndpointStatus) -> Vec<Vec<String>> {
+    let mut keys_by_reason: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
+    for unknown in &endpoint.unknown {
+        keys_by_reason.entry(&unknown.reason).or_default().push(&unknown.key);
+    }
+    let row =
+        |(reason, keys): (&str, Vec<&str>)| vec![endpoint.name.clone(), keys.join(", "), reason.to_string()];
+    keys_by_reason.into_iter().map(row).collect()
+}
+
 fn unanswered_row(query: &UnansweredQuery) -> Vec<String> {
     vec![query.question.clone(), format_age(query.for_ms.max(0.0) as u64), query.reason.clone()]
 }
--- a/crates/policy/src/interface/endpoints.rs
+++ b/crates/policy/src/interface/endpoints.rs
@@ -21,10 +21,10 @@
     pub key: u64,
     /// State on the list.
     pub state: EndpointState,
-    /// Number of its cell.
-    pub cell: u32,
-    /// Number of its zone.
-    pub zone: u32,
+    /// Number of its cell; `None` if it is unknown, which permits no repeat of a request at another backend.
+    pub cell: Option<u32>,
+    /// Number of its zone; `None` if it is unknown.
+    pub zone: Option<u32>,
     /// Number of its instance type.
     pub instance_type: u32,
     /// Time at which it started, ms; 0 for long ago.
@@ -43,8 +43,8 @@
             id: 0,
             key: 0,
             state: EndpointState::Ready,
-            cell: 0,
-            zone: 0,
+            cell: None,
+            zone: None,
             instance_type: 0,
             started_ms: 0.0,
             reenabled_ms: 0.0,
--- a/crates/policy/src/policy/attempts.rs
+++ b/crates/policy/src/policy/attempts.rs
@@ -68,7 +68,7 @@
         self.backends.record_work(slot, now, self.expected_work_ms(id));
         let backend = self.backends.get_mut(slot);
         let in_flight = InFlightCounts { backend: backend.in_flight, gateway: self.fleet.in_flight() };
-        let attempt = Attempt::new(&backend.entry, now, overdue_after_ms, in_flight);
+        let attempt = Attempt::new(&backend.entry, self.list_version, now, overdue_after_ms, in_flight);
         let idle = backend.in_flight <= 0.0;
         backend.in_flight += 1.0;
         if idle {
--- a/crates/policy/src/policy/backend.rs
+++ b/crates/policy/src/policy/backend.rs
@@ -18,6 +18,9 @@
 #[derive(Debug, Default)]
 pub(crate) struct Backend {
     pub(crate) entry: BackendEndpoint,
+    /// Version of the endpoint list that changed its cell or zone last; 0 if they have not changed since it
+    /// was added.
+    pub(crate) scope_version: u64,
     /// Start of the current warm-up: the backend's last start by the endpoint list, or its return after
     /// silence.
     pub(crate) warm_up_started_at: f64,
@@ -57,6 +60,14 @@
         Backend { warm_up_started_at, warm_up_ms, entry: entry.clone(), ..Backend::default() }
     }
 
+    /// Replaces the entry by one of this version of the endpoint list.
+    pub(crate) fn set_entry(&mut self, list_version: u64, entry: &BackendEndpoint) {
+        if (entry.cell, entry.zone) != (self.entry.cell, self.entry.zone) {
+            self.scope_version = list_version;
+        }
+        self.entry = entry.clone();
+    }
+
     pub(crate) fn is_ready(&self) -> bool {
         self.entry.state == EndpointState::Ready
     }
--- a/crates/policy/src/policy/endpoint_list.rs
+++ b/crates/policy/src/policy/endpoint_list.rs
@@ -20,6 +20,7 @@
         endpoints: &[BackendEndpoint],
         actions: &mut Vec<Action>,
     ) {
+        self.list_version += 1;
         if self.settings.polls_endpoints {
             self.schedule_poll(now, scope, actions);
         }
@@ -55,6 +56,7 @@
     /// Applies one entry of the endpoint list.
     fn update_backend(&mut self, now: f64, endpoint: &BackendEndpoint) {
         let removed = endpoint.state == EndpointState::Removed;
+        let list_version = self.list_version;
         let Some(slot) = self.backends.find(endpoint.id) else {
             if !removed {
                 self.backends.insert(now, Backend::new(now, endpoint, &self.settings));
@@ -66,14 +68,17 @@
             self.backends.update(now, slot, |backend| backend.entry.state = endpoint.state);
         } else if endpoint.slow_start_from_ms() > known.entry.slow_start_from_ms() {
             // Observations of the previous process do not apply to the new one.
-            let restarted = Backend {
+            let mut restarted = Backend {
+                entry: known.entry.clone(),
+                scope_version: known.scope_version,
                 in_flight: known.in_flight,
                 last_alive_at: known.last_alive_at,
                 ..Backend::new(now, endpoint, &self.settings)
             };
+            restarted.set_entry(list_version, endpoint);
             self.backends.renew(now, slot, restarted);
         } else {
-            self.backends.update(now, slot, |backend| backend.entry = endpoint.clone());
+            self.backends.update(now, slot, |backend| backend.set_entry(list_version, endpoint));
         }
         self.backends.check_at(slot, now);
         self.forget_if_removed(now, endpoint.id);
--- a/crates/policy/src/policy/endpoint_selection.rs
+++ b/crates/policy/src/policy/endpoint_selection.rs
@@ -114,7 +114,7 @@
         let work_ms = self.latency.work_ms(open.request.class, open.request.units);
         let mean_warm_work = self.backends.mean_warm_work(now);
         let mut best: Option<Candidate> = None;
-        for group in self.groups_to_draw_from(open) {
+        for group in self.groups_to_draw_from(open)? {
             let start = drawn.len();
             self.backends.draw(group, ignore_ejection, &mut || random.next_f64(), drawn);
             let drawn = &drawn[start..];
@@ -145,16 +145,16 @@
     /// deduplication scope in which its first attempt may have run. If the subset is mostly ejected, work
     /// spills over to the whole fleet, because the remaining backends of the subset would be overloaded.
     /// Ejections are ignored only if most of the fleet is ejected: a gateway's view of its subset is not
-    /// representative of the fleet.
-    fn groups_to_draw_from(&self, open: &OpenRequest) -> [Scope; 3] {
+    /// representative of the fleet. There is none if the deduplication scope is unknown.
+    fn groups_to_draw_from(&self, open: &OpenRequest) -> Option<[Scope; 3]> {
         let class = &self.settings.classes[open.request.class];
         let earlier_attempt =
             open.attempts_that_may_have_run().next().filter(|_| class.idempotency == Idempotency::Keyed);
         match (earlier_attempt, class.deduplication_scope) {
-            (Some(attempt), DeduplicationScope::Cell) => [Scope::Cell(attempt.cell); 3],
-            (Some(attempt), DeduplicationScope::Zone) => [Scope::Zone(attempt.zone); 3],
-            _ if self.is_mostly_ejected(Scope::Subset) => [Scope::Fleet; 3],
-            _ => [Scope::Subset, Scope::Subset, Scope::Fleet],
+            (Some(attempt), DeduplicationScope::Cell) => Some([Scope::Cell(attempt.cell?); 3]),
+            (Some(attempt), DeduplicationScope::Zone) => Some([Scope::Zone(attempt.zone?); 3]),
+            _ if self.is_mostly_ejected(Scope::Subset) => Some([Scope::Fleet; 3]),
+            _ => Some([Scope::Subset, Scope::Subset, Scope::Fleet]),
         }
     }
 
@@ -271,7 +271,7 @@
 
     /// Returns the relative cost of an attempt by the backend's zone: 1 in the gateway's own zone.
     fn zone_cost(&self, backend: &Backend) -> f64 {
-        let crosses_zone = f64::from(u8::from(backend.entry.zone != self.settings.zone));
+        let crosses_zone = f64::from(u8::from(backend.entry.zone != Some(self.settings.zone)));
         1.0 + crosses_zone * self.settings.cross_zone_cost
     }
 
--- a/crates/policy/src/policy/mod.rs
+++ b/crates/policy/src/policy/mod.rs
@@ -79,6 +79,8 @@
     counter_calls: CounterCallsInFlight,
     call_throttle: CallThrottle,
     pub(crate) backends: Index<Backend>,
+    /// Number of updates of the endpoint list.
+    list_version: u64,
     /// Scratch buffer for the slots of drawn candidates, kept to reuse its allocation.
     drawn_slots: Vec<usize>,
     longest: LongestTimes,
@@ -112,6 +114,7 @@
             counter_calls: CounterCallsInFlight::default(),
             call_throttle: CallThrottle::new(now),
             backends: Index::new(subset, sampling, settings.slow_start.overload_window_ms),
+            list_version: 0,
             drawn_slots: Vec::new(),
             longest: LongestTimes::from_settings(&settings),
             latency: LatencyEstimates::new(&settings.classes),
--- a/crates/policy/src/policy/repeat_safety.rs
+++ b/crates/policy/src/policy/repeat_safety.rs
@@ -48,16 +48,23 @@
     }
 
     /// Returns whether a backend drops repeats of an attempt because it is in the same deduplication scope.
+    /// An unknown cell or zone is in no scope, and one that has changed since the attempt was sent may have
+    /// been another one all along.
     ///
     /// If the process that the request reached there may have ended, another one may have its address, which
     /// the endpoint list may tell of seconds later. That one need not be in the scope.
     fn deduplicates(&self, open: &OpenRequest, attempt: &Attempt, backend: &Backend) -> bool {
         let in_scope = match self.class_of(open).deduplication_scope {
             DeduplicationScope::All => return true,
-            DeduplicationScope::Zone => attempt.zone == backend.entry.zone,
-            DeduplicationScope::Cell => attempt.cell == backend.entry.cell,
+            DeduplicationScope::Zone => is_same(attempt.zone, backend.entry.zone),
+            DeduplicationScope::Cell => is_same(attempt.cell, backend.entry.cell),
         };
-        in_scope && !open.has_lost_process_of(backend.entry.id)
+        let unchanged = |backend: &Backend| backend.scope_version <= attempt.list_version;
+        let attempted = self.backends.find(attempt.backend).map(|slot| self.backends.get(slot));
+        in_scope
+            && unchanged(backend)
+            && attempted.is_none_or(unchanged)
+            && !open.has_lost_process_of(backend.entry.id)
     }
 
     /// Returns the time until which a repeat of a request may be written. A keyed request may be repeated
@@ -73,3 +80,8 @@
         Some(earliest + class.deduplication_window_ms - self.settings.clock_granularity_ms)
     }
 }
+
+/// Returns whether both are known and equal.
+fn is_same(first: Option<u32>, second: Option<u32>) -> bool {
+    first.is_some() && first == second
+}
--- a/crates/policy/src/policy/request.rs
+++ b/crates/policy/src/policy/request.rs
@@ -55,8 +55,10 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Attempt {
     pub(crate) backend: u32,
-    pub(crate) cell: u32,
-    pub(crate) zone: u32,
+    pub(crate) cell: Option<u32>,
+    pub(crate) zone: Option<u32>,
+    /// Version of the endpoint list when it was sent.
+    pub(crate) list_version: u64,
     pub(crate) sent_at: f64,
     /// Time after sending at which the answer is overdue, ms.
     pub(crate) overdue_after_ms: f64,
@@ -72,6 +74,7 @@
 impl Attempt {
     pub(crate) fn new(
         to: &BackendEndpoint,
+        list_version: u64,
         now: f64,
         overdue_after_ms: f64,
         in_flight_at_send: InFlightCounts,
@@ -80,6 +83,7 @@
             backend: to.id,
             cell: to.cell,
             zone: to.zone,
+            list_version,
             sent_at: now,
             overdue_after_ms,
             in_flight_at_send,
--- a/crates/routing/src/attributes.rs
+++ b/crates/routing/src/attributes.rs
@@ -18,10 +18,10 @@
     pub id: u32,
     /// Key of the backend, the same at all gateways; never changes.
     pub key: u64,
-    /// Zone.
-    pub zone: u32,
-    /// Cell.
-    pub cell: u32,
+    /// Zone; `None` if it is unknown.
+    pub zone: Option<u32>,
+    /// Cell; `None` if it is unknown.
+    pub cell: Option<u32>,
     /// Instance type.
     pub instance_type: u32,
     /// State on the endpoint list.
--- a/crates/routing/src/groups.rs
+++ b/crates/routing/src/groups.rs
@@ -101,8 +101,8 @@
         let groups = [
             Some((FLEET, &mut self.fleet)),
             in_subset.then_some((SUBSET, &mut self.subset)),
-            Some((ZONE, self.zones.entry(attributes.zone).or_default())),
-            Some((CELL, self.cells.entry(attributes.cell).or_default())),
+            attributes.zone.map(|zone| (ZONE, self.zones.entry(zone).or_default())),
+            attributes.cell.map(|cell| (CELL, self.cells.entry(cell).or_default())),
             Some((INSTANCE_TYPE, self.instance_types.entry(attributes.instance_type).or_default())),
         ];
         groups.into_iter().flatten()
@@ -169,9 +169,13 @@
     /// Removes those groups of a backend that have become empty.
     fn drop_empty(&mut self, attributes: &Attributes) {
         let Attributes { zone, cell, instance_type, .. } = *attributes;
-        let by_key =
-            [(&mut self.zones, zone), (&mut self.cells, cell), (&mut self.instance_types, instance_type)];
+        let by_key = [
+            (&mut self.zones, zone),
+            (&mut self.cells, cell),
+            (&mut self.instance_types, Some(instance_type)),
+        ];
         for (groups, key) in by_key {
+            let Some(key) = key else { continue };
             if groups.get(&key).is_some_and(Group::is_empty) {
                 groups.remove(&key);
             }
--- a/crates/simulator-adapter/src/wire/record.rs
+++ b/crates/simulator-adapter/src/wire/record.rs
@@ -213,8 +213,8 @@
         other => return Err(Malformed::new(format!("Directory: unknown state {other}"))),
     };
     let id = fields.u32("Directory")?;
-    let cell = u32::from(fields.u16("Directory")?);
-    let zone = u32::from(fields.u8("Directory")?);
+    let cell = Some(u32::from(fields.u16("Directory")?));
+    let zone = Some(u32::from(fields.u8("Directory")?));
     let started_ms = fields.f64("Directory")?;
     let weight = fields.f32("Directory")?;
     // The simulator uses the same numbers at all gateways, so the number is also the key.
--- a/crates/testbed/src/dns.rs
+++ b/crates/testbed/src/dns.rs
@@ -42,6 +42,8 @@
     NameError,
     /// Truncates all answers, over TCP as well.
     Truncated,
+    /// Answers no question for a TXT record.
+    NoTextAnswer,
 }
 
 /// A service instance (RFC 6763).
@@ -110,11 +112,7 @@
         let (priority, weight, port) = instance.service;
         let srv =
             [priority, weight, port].iter().flat_map(|n| n.to_be_bytes()).chain(encode_name(&host)).collect();
-        let text = instance.text.iter().flat_map(|s| {
-            let bytes = &s.as_bytes()[..s.len().min(255)];
-            std::iter::once(bytes.len() as u8).chain(bytes.iter().copied())
-        });
-        let text: Vec<u8> = if instance.text.is_empty() { vec![0] } else { text.collect() };
+        let text = encode_text(&instance.text);
         let pointer = encode_instance_name(&instance.label, &service);
         self.update_zone(|zone| {
             zone.records.insert((name.clone(), SRV), vec![srv]);
@@ -127,6 +125,17 @@
         });
     }
 
+    /// Replaces an instance's TXT records; without any, the answer is NODATA.
+    pub fn set_text(&self, service: &str, label: &str, records: &[Vec<String>]) {
+        let key = (instance_name(label, &fold_case(service)), TXT);
+        self.update_zone(|zone| {
+            zone.records.remove(&key);
+            if !records.is_empty() {
+                zone.records.insert(key, records.iter().map(|strings| encode_text(strings)).collect());
+            }
+        });
+    }
+
     /// Removes an instance's PTR record and keeps its other records.
     pub fn remove_pointer(&self, service: &str, label: &str) {
         let (service, pointer) = (fold_case(service), encode_instance_name(label, service));
@@ -180,6 +189,19 @@
     format!("{}.{}", label.to_lowercase(), fold_case(service))
 }
 
+/// Encodes the strings of a TXT record. A record without strings has one empty string (RFC 6763, section
+/// 6.1).
+fn encode_text(strings: &[String]) -> Vec<u8> {
+    if strings.is_empty() {
+        return vec![0];
+    }
+    let encode = |string: &String| {
+        let bytes = &string.as_bytes()[..string.len().min(255)];
+        [&[bytes.len() as u8], bytes].concat()
+    };
+    strings.iter().flat_map(encode).collect()
+}
+
 /// Encodes a name as length-prefixed labels.
 fn encode_name(name: &str) -> Vec<u8> {
     let labels = name.split('.').filter(|l| !l.is_empty());
@@ -273,6 +295,8 @@
         let wrong_id = question.id.wrapping_add(1);
         match zone.answer_fault {
             AnswerFault::None | AnswerFault::NameError | AnswerFault::Truncated => vec![correct],
+            AnswerFault::NoTextAnswer if question.record_type == TXT => Vec::new(),
+            AnswerFault::NoTextAnswer => vec![correct],
             AnswerFault::WrongId => vec![question.answer(wrong_id, 3, &[], &[], false)],
             AnswerFault::Forged => {
                 let other_question =
--- a/crates/testbed/src/rig/fleet_events.rs
+++ b/crates/testbed/src/rig/fleet_events.rs
@@ -30,8 +30,8 @@
     BackendEndpoint {
         id: number,
         key: u64::from(number),
-        cell: backend.cell,
-        zone: backend.zone,
+        cell: Some(backend.cell),
+        zone: Some(backend.zone),
         started_ms: backend.started,
         state: if backend.removed { EndpointState::Removed } else { EndpointState::Ready },
         ..BackendEndpoint::default()
