--- a/crates/gatewayctl/tests/unknown_metadata.rs
+++ b/crates/gatewayctl/tests/unknown_metadata.rs
@@ -277,3 +277,25 @@
     assert!(output.stdout.contains("UNKNOWN") && output.stdout.contains("missing"), "{}", output.stdout);
     site.fleet.finish_load(load);
 }
+
+/// Guards against a drain that ends because neither the gateway nor the agent knows the group any more: both
+/// have started again after the records were gone.
+#[test]
+#[ignore = "KNOWN-RED.txt, entry 2"]
+fn drain_of_a_group_outlasts_restarts_of_the_gateway_and_the_agent() {
+    let mut site = Site::start(complete_text);
+    let drain = site.fleet.cli(&["drain", "group/1", "--deadline", "10s"]);
+    assert_eq!(drain.code, 0, "{}", drain.stderr);
+    site.set_texts(|_| Vec::new());
+    site.wait_for_change();
+    site.restart_agent();
+    site.fleet.reconfigure(|config| config["known"]["endpoints"] = Value::Array(Vec::new()));
+    site.fleet.restart(0);
+    site.wait_for_gateway();
+    let before = site.arrived_in_last_group();
+    let load = site.start_keyed_load();
+    let served = load.counts().served;
+    wait_until("requests are served", || load.counts().served > served + 100);
+    assert_eq!(site.arrived_in_last_group(), before, "list: {:#?}", site.sources());
+    site.fleet.finish_load(load);
+}
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -116,6 +116,19 @@
     }));
 }
 
+/// Guards against a repeat at a backend of another cell that leaves the list and joins it again, in the cell
+/// of the first attempt, while the request is in flight.
+#[test]
+#[ignore = "KNOWN-RED.txt, entry 3"]
+fn keyed_retry_avoids_backend_that_has_joined_again_in_another_cell() {
+    let listed: Vec<BackendEndpoint> = (0..2).map(|id| backend(id, Some(id))).collect();
+    assert!(!is_repeated_after(DeduplicationScope::Cell, &listed, |first| {
+        let other = backend(1 - first, Some(1 - first));
+        let joined_again = BackendEndpoint { id: 2, cell: Some(first), ..other.clone() };
+        vec![BackendEndpoint { state: EndpointState::Removed, ..other }, joined_again]
+    }));
+}
+
 /// If the process that an attempt reached may have ended, another one may have its address: a repeat there
 /// could run twice.
 #[test]
